--- a/crates/agent/src/answers.rs
+++ b/crates/agent/src/answers.rs
@@ -1,7 +1,6 @@
 //! Answers under way at this agent, so that they can be cancelled and taken over.
 
 use std::collections::VecDeque;
-use std::mem;
 use std::sync::Arc;
 
 use parking_lot::Mutex;
@@ -174,7 +173,7 @@
             state.running.remove(index);
         }
         drop(state);
-        let pass = mem::take(&mut *self.shared.pass.lock());
+        let pass = self.shared.pass.lock().take();
         drop(pass);
     }
 }
--- a/crates/agent/src/gate.rs
+++ b/crates/agent/src/gate.rs
@@ -15,7 +15,6 @@
 use policy::gate::Rules;
 use policy::gate::Ticket;
 pub(crate) use token::Token;
-use tokio::sync::oneshot;
 use wire::Load;
 use wire::Mean;
 use wire::id;
@@ -75,20 +74,20 @@
         let decision = state.waiters.add(id);
         let actions = state.gate.offer(ticket, mean, now);
         state.carry_out(actions);
-        meter::load(state.gate.load());
+        let load = state.gate.load();
+        drop(state);
+        meter::load(load);
         Pass::new(self, id, decision)
     }
 
     /// Counts work that the engine runs already; the ticket's id is set here.
     pub fn adopt(self: &Arc<Gate>, mut ticket: Ticket) -> Pass {
         let now = (self.clock)();
-        let (sender, decision) = oneshot::channel();
-        let _ = sender.send(Ok(()));
         let mut state = self.state.lock();
         let id = state.next();
         ticket.id = id;
         state.gate.adopt(ticket, now);
-        Pass::new(self, id, decision)
+        Pass::new(self, id, waiters::granted())
     }
 
     /// The work counted at the gate.
@@ -115,7 +114,9 @@
         state.waiters.remove(id);
         let actions = state.gate.end(id, end, now);
         state.carry_out(actions);
-        meter::load(state.gate.load());
+        let load = state.gate.load();
+        drop(state);
+        meter::load(load);
     }
 }
 
--- a/crates/agent/src/gate/pass.rs
+++ b/crates/agent/src/gate/pass.rs
@@ -12,6 +12,7 @@
 use crate::failure;
 use crate::gate::Gate;
 use crate::gate::Token;
+use crate::gate::waiters;
 use crate::gate::waiters::Decision;
 
 /// A place at the gate; dropping it gives the place back.
@@ -42,9 +43,7 @@
         match self.decision.try_recv() {
             Ok(Err(refusal)) => Some(refusal),
             Ok(Ok(())) => {
-                let (sender, decision) = oneshot::channel();
-                let _ = sender.send(Ok(()));
-                self.decision = decision;
+                self.decision = waiters::granted();
                 None
             }
             Err(_) => None,
--- a/crates/agent/src/gate/waiters.rs
+++ b/crates/agent/src/gate/waiters.rs
@@ -17,6 +17,14 @@
     sender: oneshot::Sender<Decision>,
 }
 
+/// The decision for work that may start, made before anyone waits for it.
+pub(super) fn granted() -> oneshot::Receiver<Decision> {
+    let (sender, decision) = oneshot::channel();
+    // The receiver is held here, so it takes what is sent.
+    let _ = sender.send(Ok(()));
+    decision
+}
+
 impl Waiters {
     /// Adds a waiter, whose id is above all others.
     pub(super) fn add(&mut self, id: Id) -> oneshot::Receiver<Decision> {
--- a/crates/policy/src/gate/demand.rs
+++ b/crates/policy/src/gate/demand.rs
@@ -89,11 +89,11 @@
             rank < ticket.rank || (rank == ticket.rank && is_large && is_small())
         };
         let before = self.flows.iter().filter(|flow| goes_before(flow.rank, &flow.account));
-        let busy: f64 = before.map(|flow| self.slots(flow, now)).sum();
+        let before: Vec<&Flow> = before.collect();
+        let busy: f64 = before.iter().map(|flow| self.slots(flow, now)).sum();
         let needed = (busy + SPARE * busy.sqrt()).ceil() as u32;
-        let rare = |flow: &Flow| flow.rank == ticket.rank && flow.is_remembered(now);
-        let has_rare = is_large
-            && self.flows.iter().any(|flow| rare(flow) && goes_before(flow.rank, &flow.account));
+        let is_rare = |flow: &&Flow| flow.rank == ticket.rank && flow.is_remembered(now);
+        let has_rare = before.iter().any(is_rare);
         let needed = needed.max(u32::from(has_rare));
         let held = running.filter(|work| goes_before(work.rank, &work.account)).count() as u32;
         needed.min(slots.saturating_sub(LEFT)).saturating_sub(held)
