Remember where parts lie, notice dead endpoints sooner, and probe with one request

Cause 2: an ejected endpoint took all requests once its time was over; one probe goes there now. Cause 3: parts moved back to their hash's endpoint after each change of the list; they stay where they were read. Long parts may follow to busier endpoints than short ones.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -65,7 +65,7 @@
     endpoint: &Arc<Endpoint>,
     last_event: Option<u64>,
 ) -> Outcome {
-    let seat = Seat::take(&worker.context.knowledge, &endpoint.id);
+    let seat = Seat::of(&worker.context.knowledge, &endpoint.id);
     let exchange = exchange(worker, request, endpoint, last_event, seat);
     let Ok(outcome) = timeout_at(request.deadline, exchange).await else {
         return Outcome::Late;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use policy::choice;
 use rand::RngExt;
 use route::Endpoint;
 
@@ -20,6 +19,10 @@
 /// Endpoints that may fail to take a connection before the request is refused.
 const CONNECTS: usize = 3;
 
+/// One of so many requests that can't be repeated may find out whether an endpoint
+/// works again, so that services without other requests get theirs back.
+const PROBE_PART: u64 = 8;
+
 /// The attempts of one request.
 #[derive(Debug, Default)]
 pub(crate) struct Tries {
@@ -107,18 +110,18 @@
     }
 }
 
-/// The endpoint that a request is to be sent to next.
+/// The endpoint that a request is to be sent to next, where it is counted already.
 pub(crate) fn next(worker: &Worker, request: &Request, tries: &Tries) -> Option<Arc<Endpoint>> {
+    let seed = rand::rng().random();
     let wish = Wish {
         service: &request.service,
         centre: &worker.context.centre,
         tried: &tries.tried,
-        ask: choice::Ask {
-            part: request.ask.shared_part().map(|part| part.id),
-            seed: rand::rng().random(),
-        },
+        part: request.ask.shared_part(),
+        may_probe: request.rule.kind.is_repeatable() || seed % PROBE_PART == 0,
+        seed,
     };
-    worker.context.knowledge.candidates(&wish).into_iter().next()
+    worker.context.knowledge.choose(&wish)
 }
 
 /// Whether a request that may have run is sent once more.
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -12,7 +12,11 @@
 use policy::occupancy::Occupancy;
 use policy::outlier::Outliers;
 use policy::outlier::Verdict;
+use policy::placement::Last;
+use policy::placement::Places;
+use policy::placement::place;
 use route::Endpoint;
+use route::Part;
 use route::Table;
 use route::endpoint::State;
 use route::reply::Load;
@@ -36,6 +40,8 @@
     endpoints: Vec<Known>,
     /// Sorted by service.
     outliers: Vec<(Arc<str>, Outliers)>,
+    /// Where parts of prompts were read last.
+    places: Places,
 }
 
 #[derive(Debug)]
@@ -54,7 +60,11 @@
     pub(crate) service: &'a str,
     pub(crate) centre: &'a str,
     pub(crate) tried: &'a [Arc<str>],
-    pub(crate) ask: choice::Ask,
+    /// The part of the prompt that other requests share.
+    pub(crate) part: Option<Part>,
+    /// Whether the request may find out if an endpoint that failed works again.
+    pub(crate) may_probe: bool,
+    pub(crate) seed: u64,
 }
 
 impl Default for Knowledge {
@@ -125,28 +135,21 @@
         self.fleet.lock().endpoints.retain(is_kept);
     }
 
-    /// The endpoints that a request may be sent to, best first.
-    pub(crate) fn candidates(&self, wish: &Wish<'_>) -> Vec<Arc<Endpoint>> {
+    /// The endpoint that a request is to be sent to; it is counted there until
+    /// [`Knowledge::ended`] is called.
+    pub(crate) fn choose(&self, wish: &Wish<'_>) -> Option<Arc<Endpoint>> {
         let now = self.now();
-        let fleet = self.fleet.lock();
-        let open: Vec<&Known> =
-            fleet.endpoints.iter().filter(|known| known.is_open(wish)).collect();
-        let sound = fleet.sound(wish.service, open, now);
-        let candidates: Vec<choice::Candidate<'_>> = sound
-            .iter()
-            .map(|known| choice::Candidate {
-                name: &known.endpoint.id,
-                requests: known.occupancy.requests(now),
-                is_far: *known.endpoint.centre != *wish.centre,
-            })
-            .collect();
-        let order = choice::order(&wish.ask, &candidates);
-        order.into_iter().map(|index| Arc::clone(&sound[index].endpoint)).collect()
-    }
-
-    /// Counts a request that is sent to an endpoint.
-    pub(crate) fn sent(&self, id: &str) {
-        self.fleet.lock().with(id, |known| known.occupancy.sent());
+        let mut fleet = self.fleet.lock();
+        let endpoint = match fleet.due_probe(wish, now) {
+            Some(probed) => probed,
+            None => fleet.best(wish, now)?,
+        };
+        if let Some(part) = wish.part {
+            let last = Last { place: place(&endpoint.id), home: 0 };
+            fleet.places.remember(part.id, last, now);
+        }
+        fleet.with(&endpoint.id, |known| known.occupancy.sent());
+        Some(endpoint)
     }
 
     /// Counts the end of a request at an endpoint.
@@ -211,6 +214,41 @@
         &mut self.outliers[index].1
     }
 
+    /// The best endpoint for a request among those that work.
+    fn best(&self, wish: &Wish<'_>, now: Duration) -> Option<Arc<Endpoint>> {
+        let open: Vec<&Known> = self.endpoints.iter().filter(|known| known.is_open(wish)).collect();
+        let sound = self.sound(wish.service, open, now);
+        let candidates: Vec<choice::Candidate<'_>> = sound
+            .iter()
+            .map(|known| choice::Candidate {
+                name: &known.endpoint.id,
+                requests: known.occupancy.requests(now),
+                is_far: *known.endpoint.centre != *wish.centre,
+            })
+            .collect();
+        let last = wish.part.and_then(|part| self.places.last(part.id, now));
+        let ask = choice::Ask {
+            part: wish.part.map(|part| part.id),
+            tokens: wish.part.map_or(0, |part| part.tokens),
+            last: last.map(|last| last.place),
+            seed: wish.seed,
+        };
+        let first = choice::order(&ask, &candidates).into_iter().next()?;
+        Some(Arc::clone(&sound[first].endpoint))
+    }
+
+    /// An endpoint that failed and is due to be tried again, by this request alone.
+    fn due_probe(&mut self, wish: &Wish<'_>, now: Duration) -> Option<Arc<Endpoint>> {
+        if !wish.may_probe {
+            return None;
+        }
+        let index = self.outliers.binary_search_by(|(name, _)| (**name).cmp(wish.service)).ok()?;
+        let outliers = &mut self.outliers[index].1;
+        let open = self.endpoints.iter().filter(|known| known.is_open(wish));
+        let mut due = open.filter(|known| outliers.probe(&known.endpoint.id, now));
+        due.next().map(|known| Arc::clone(&known.endpoint))
+    }
+
     /// Leaves out endpoints that fail, but never so many that the rest can't carry their work.
     fn sound<'a>(&self, service: &str, open: Vec<&'a Known>, now: Duration) -> Vec<&'a Known> {
         let Ok(index) = self.outliers.binary_search_by(|(name, _)| (**name).cmp(service)) else {
@@ -219,7 +257,7 @@
         let names: Vec<&str> = open.iter().map(|known| &*known.endpoint.id).collect();
         let verdicts = self.outliers[index].1.verdicts(&names, now);
         let pairs = open.iter().zip(verdicts);
-        let sound = pairs.filter(|(_, verdict)| *verdict != Verdict::Ejected);
+        let sound = pairs.filter(|(_, verdict)| *verdict == Verdict::Open);
         let sound: Vec<&Known> = sound.map(|(known, _)| *known).collect();
         if sound.is_empty() { open } else { sound }
     }
--- a/crates/gateway/src/seat.rs
+++ b/crates/gateway/src/seat.rs
@@ -12,8 +12,8 @@
 }
 
 impl Seat {
-    pub(crate) fn take(knowledge: &Arc<Knowledge>, endpoint: &Arc<str>) -> Seat {
-        knowledge.sent(endpoint);
+    /// Takes over the count that [`Knowledge::choose`] began.
+    pub(crate) fn of(knowledge: &Arc<Knowledge>, endpoint: &Arc<str>) -> Seat {
         Seat { knowledge: Arc::clone(knowledge), endpoint: Arc::clone(endpoint) }
     }
 }
--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -25,12 +25,15 @@
 /// The head of an answer, whose body is read as it comes.
 pub type Response = http::Response<Incoming>;
 
-/// How long a connection may take to be made: a lost first packet is sent again after a second.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_500);
-
-/// Time after which a peer that confirms nothing counts as gone. Without it a
-/// connection to a VM that lost power hangs until the request's own timeout.
-const SILENCE: Duration = Duration::from_millis(2_000);
+/// How long a connection may take to be made: some round trips of a region with
+/// room for a busy VM. Where it is over, nothing was sent, and another endpoint is
+/// asked long before a lost first packet would be sent again (RFC 6298: a second).
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Time after which a peer that confirms nothing counts as gone: two packets that
+/// are sent again after 200 and 400 ms. Without it a connection to a VM that lost
+/// power hangs until the request's own timeout.
+const SILENCE: Duration = Duration::from_millis(800);
 
 /// A quiet connection is probed this often, so that silence is seen within [`SILENCE`].
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -7,9 +7,20 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// Endpoints take work for the sake of reuse up to this multiple of the mean.
-/// It is below the bound that operators set, since what is known lags.
-const REUSE_MULTIPLE: f64 = 1.7;
+use crate::placement::Place;
+use crate::placement::place;
+
+/// Endpoints take requests with short parts for the sake of reuse up to this
+/// multiple of the mean. It is below the bound that operators set, since what is
+/// known lags.
+const SHORT_MULTIPLE: f64 = 1.4;
+
+/// The same with parts of [`LONG_TOKENS`] and more.
+const LONG_MULTIPLE: f64 = 1.8;
+
+/// Reading a part of so many tokens again delays all requests at its endpoint by
+/// about the time between two tokens that clients notice, 30 ms.
+const LONG_TOKENS: f64 = 4_000.0;
 
 /// Requests above the multiple that are allowed still, so that idle services reuse too.
 const REUSE_SLACK: f64 = 2.5;
@@ -34,6 +45,10 @@
 pub struct Ask {
     /// The part of the prompt that other requests share, if there is any.
     pub part: Option<u64>,
+    /// Its length, in tokens.
+    pub tokens: u32,
+    /// Where the part was read last, as far as this process knows.
+    pub last: Option<Place>,
     /// Random bits, which decide between endpoints that are alike.
     pub seed: u64,
 }
@@ -50,21 +65,26 @@
     order.sort_by(|left, right| {
         by_load(left).total_cmp(&by_load(right)).then_with(|| draw(left).cmp(&draw(right)))
     });
-    let Some(part) = ask.part else { return order };
-    if let Some(home) = home(part, candidates) {
+    if let Some(home) = home(ask, candidates) {
         lead_with(home, &mut order);
     }
     order
 }
 
-/// The first endpoint along the part's hash that is not far busier than the others.
-fn home(part: u64, candidates: &[Candidate<'_>]) -> Option<usize> {
+/// Where the part lies, or else the first endpoint along its hash, if that one is
+/// not far busier than the others.
+fn home(ask: &Ask, candidates: &[Candidate<'_>]) -> Option<usize> {
+    let part = ask.part?;
     let total: f64 = candidates.iter().map(|candidate| candidate.requests).sum();
     let mean = total / candidates.len().max(1) as f64;
-    let most = mean * REUSE_MULTIPLE + REUSE_SLACK;
+    let length = (f64::from(ask.tokens) / LONG_TOKENS).min(1.0);
+    let multiple = SHORT_MULTIPLE + (LONG_MULTIPLE - SHORT_MULTIPLE) * length;
+    let most = mean * multiple + REUSE_SLACK;
+    let is_open = |index: &usize| candidates[*index].requests <= most;
+    let is_last = |index: &usize| ask.last == Some(place(candidates[*index].name));
+    let last = (0..candidates.len()).find(|index| is_last(index) && is_open(index));
     let score = |index: &usize| xxh3_64_with_seed(candidates[*index].name.as_bytes(), part);
-    let open = (0..candidates.len()).filter(|index| candidates[*index].requests <= most);
-    open.max_by_key(score)
+    last.or_else(|| (0..candidates.len()).filter(is_open).max_by_key(score))
 }
 
 fn lead_with(first: usize, order: &mut [usize]) {
