--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -131,6 +131,12 @@
         fleet.is_known = true;
     }
 
+    /// All endpoints that are known, sorted by id.
+    pub fn endpoints(&self) -> Vec<Arc<Endpoint>> {
+        let fleet = self.fleet.lock();
+        fleet.endpoints.iter().map(|known| Arc::clone(&known.endpoint)).collect()
+    }
+
     /// Takes in one announcement.
     pub fn set_endpoint(&self, endpoint: Endpoint) {
         self.fleet.lock().put(endpoint);
--- /dev/null
+++ b/crates/policy/tests/choice.rs
@@ -0,0 +1,96 @@
+//! Loads in, the order of endpoints out.
+
+use policy::choice;
+use policy::choice::Ask;
+use policy::choice::Candidate;
+use policy::placement::place;
+
+/// The operators' bound of the load rule: twice the mean of the service and 3.
+const BOUND: f64 = 2.0;
+const BOUND_SLACK: f64 = 3.0;
+
+const NAMES: [&str; 6] = ["e1", "e2", "e3", "e4", "e5", "e6"];
+
+fn candidates(requests: &[f64]) -> Vec<Candidate<'static>> {
+    let with = |(name, requests): (&&'static str, &f64)| Candidate {
+        name,
+        requests: *requests,
+        is_far: false,
+    };
+    NAMES.iter().zip(requests).map(with).collect()
+}
+
+fn ask(part: Option<u64>, tokens: u32, last: Option<&str>) -> Ask {
+    Ask { part, tokens, last: last.map(place), seed: 7 }
+}
+
+fn first(ask: &Ask, candidates: &[Candidate<'_>]) -> String {
+    candidates[choice::order(ask, candidates)[0]].name.to_owned()
+}
+
+#[test]
+fn work_without_parts_goes_to_the_least_loaded() {
+    let candidates = candidates(&[3.0, 1.0, 2.0]);
+    assert_eq!(choice::order(&ask(None, 0, None), &candidates), [1, 2, 0]);
+}
+
+#[test]
+fn another_data_centre_decides_between_equals_only() {
+    let mut candidates = candidates(&[2.0, 2.0, 1.0]);
+    candidates[0].is_far = true;
+    candidates[2].is_far = true;
+    assert_eq!(choice::order(&ask(None, 0, None), &candidates), [2, 1, 0]);
+}
+
+#[test]
+fn all_processes_send_a_part_to_the_same_endpoint() {
+    let idle = candidates(&[0.0; 6]);
+    let mut reversed = idle.clone();
+    reversed.reverse();
+    for part in 0..100 {
+        let ask = ask(Some(part), 700, None);
+        let other = Ask { seed: 8, ..ask };
+        assert_eq!(first(&ask, &idle), first(&other, &reversed));
+    }
+}
+
+#[test]
+fn an_endpoint_that_leaves_moves_only_its_own_parts() {
+    let all = candidates(&[0.0; 6]);
+    for part in 0..100 {
+        let ask = ask(Some(part), 700, None);
+        let before = first(&ask, &all);
+        let after = first(&ask, &all[1..]);
+        assert!(before == "e1" || before == after, "{before} {after}");
+    }
+}
+
+#[test]
+fn a_part_stays_where_it_was_read_last() {
+    let idle = candidates(&[0.0; 6]);
+    for name in NAMES {
+        assert_eq!(first(&ask(Some(1), 700, Some(name)), &idle), name);
+    }
+}
+
+#[test]
+fn a_long_part_may_follow_to_a_busier_endpoint_than_a_short_one() {
+    let loads = candidates(&[21.0, 10.0, 10.0, 10.0, 10.0, 10.0]);
+    assert_eq!(first(&ask(Some(1), 10_000, Some("e1")), &loads), "e1");
+    assert_ne!(first(&ask(Some(1), 700, Some("e1")), &loads), "e1");
+}
+
+#[test]
+fn no_hot_part_takes_an_endpoint_above_the_load_bound() {
+    // One part gets all requests, at any level of load, while what is known is exact.
+    for total in [1_u32, 10, 60, 600] {
+        let mut requests = [0.0; 6];
+        for _ in 0..total {
+            let loads = candidates(&requests);
+            let index = choice::order(&ask(Some(1), 10_000, None), &loads)[0];
+            requests[index] += 1.0;
+            let mean = requests.iter().sum::<f64>() / 6.0;
+            assert!(requests[index] <= BOUND * mean + BOUND_SLACK + 1.0, "{requests:?}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/occupancy.rs
@@ -0,0 +1,52 @@
+//! What is sent and told in, what an endpoint is believed to have out.
+
+use std::time::Duration;
+
+use policy::occupancy::Occupancy;
+
+fn second(number: u64) -> Duration {
+    Duration::from_secs(number)
+}
+
+#[test]
+fn its_own_requests_are_counted_exactly() {
+    let mut occupancy = Occupancy::default();
+    occupancy.sent();
+    occupancy.sent();
+    occupancy.ended();
+    assert_eq!(occupancy.requests(second(0)), 1.0);
+    occupancy.ended();
+    occupancy.ended();
+    assert_eq!(occupancy.own(), 0);
+}
+
+#[test]
+fn what_others_have_is_what_is_told_less_its_own() {
+    let mut occupancy = Occupancy::default();
+    occupancy.sent();
+    occupancy.told(5, second(1));
+    assert_eq!(occupancy.requests(second(1)), 5.0);
+    occupancy.sent();
+    assert_eq!(occupancy.requests(second(2)), 6.0);
+    occupancy.ended();
+    occupancy.ended();
+    assert_eq!(occupancy.requests(second(2)), 4.0);
+}
+
+#[test]
+fn old_news_fades() {
+    let mut occupancy = Occupancy::default();
+    occupancy.told(8, second(1));
+    assert_eq!(occupancy.requests(second(3)), 4.0);
+    assert_eq!(occupancy.requests(second(4)), 2.0);
+    assert!(occupancy.requests(second(60)) < 0.001);
+}
+
+#[test]
+fn fewer_told_than_its_own_is_no_debt() {
+    let mut occupancy = Occupancy::default();
+    occupancy.sent();
+    occupancy.sent();
+    occupancy.told(1, second(1));
+    assert_eq!(occupancy.requests(second(1)), 2.0);
+}
