One client of the store: the platform's, also for the own build-up

Cause: the product had a client and a stand-in of etcd's gateway beside those of the platform. The stand-in speaks the platform's protocol over the cores that were there (keys, leases, limits, faults).

--- a/crates/agent/src/context.rs
+++ b/crates/agent/src/context.rs
@@ -7,15 +7,12 @@
 
 use board::Board;
 use futures_util::future::LocalBoxFuture;
-use services::Store;
+use services::store::StoreFactory;
 use wire::Key;
 use wire::Stamp;
 
 use crate::Backend;
 
-/// Makes a store client for the worker that calls it, since clients are local to workers.
-pub type StoreFactory = Arc<dyn Fn() -> Rc<dyn Store> + Send + Sync>;
-
 /// Told of each stamp that an attempt carries, so that the control loop learns
 /// of newer configurations from the attempts that pass.
 pub type Notice = Arc<dyn Fn(&Stamp) + Send + Sync>;
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -26,7 +26,6 @@
 pub use context::Context;
 pub use context::EngineFactory;
 pub use context::Notice;
-pub use context::StoreFactory;
 pub use endpoint::Backend;
 pub use endpoint::Kind;
 pub use server::serve;
--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -10,7 +10,7 @@
 mod settings;
 mod status;
 
-use services::etcd;
+use platform::Client;
 
 use crate::Error;
 use crate::Profile;
@@ -59,11 +59,13 @@
 /// What commands on a running fleet need.
 struct Operation {
     profile: Profile,
-    store: etcd::Client,
+    store: Client,
 }
 
 fn operation(flags: &Lycheeknot) -> Result<Operation, Error> {
     let profile = Profile::load(flags.profile.as_deref())?;
-    let store = etcd::Client::new(&profile.key_value);
+    let address = Client::address(&profile.key_value)
+        .map_err(|error| Error::Profile("key_value".to_owned(), error.to_string()))?;
+    let store = Client::new(address);
     Ok(Operation { profile, store })
 }
--- a/crates/control/src/context.rs
+++ b/crates/control/src/context.rs
@@ -5,6 +5,7 @@
 
 use board::Board;
 use rpc::Keys;
+use services::store::StoreFactory;
 
 use crate::Notices;
 
@@ -19,8 +20,8 @@
     pub listen: SocketAddr,
     /// The keys that calls are made and taken under.
     pub keys: Keys,
-    /// Address of the key-value service, such as `http://10.0.0.1:2379`.
-    pub key_value: String,
+    /// Opens the key-value service on the thread that calls it.
+    pub store: StoreFactory,
     /// Address of the VM list, such as `http://10.0.0.1:8080`.
     pub vms: String,
     /// Tells of newer revisions that were seen on messages.
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -7,7 +7,6 @@
 use rpc::Pool;
 use services::Store;
 use services::Vms;
-use services::etcd;
 use services::list;
 use tokio_util::sync::CancellationToken;
 
@@ -37,7 +36,7 @@
 ///
 /// [`Error::Listen`]; everything else is tried again.
 pub async fn run(context: Context, cancel: CancellationToken) -> Result<(), Error> {
-    let store = Rc::new(etcd::Client::new(&context.key_value));
+    let store = (context.store)();
     let vms = Rc::new(list::Client::new(&context.vms));
     run_on(context, Platform { store, vms }, cancel).await
 }
--- a/crates/daemon/src/controllers.rs
+++ b/crates/daemon/src/controllers.rs
@@ -62,7 +62,7 @@
         cluster: settings.cluster.clone(),
         listen: settings.listen.control,
         keys: keys(&settings.peer).map_err(Error::Control)?,
-        key_value: settings.platform.key_value.clone(),
+        store: process.store.clone(),
         vms: settings.platform.vms.clone(),
         notices: process.notices.clone(),
     })
--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -1,6 +1,7 @@
 //! Why the daemon ended.
 
 use std::io;
+use std::net::AddrParseError;
 
 use displaydoc::Display;
 
@@ -15,6 +16,8 @@
     Control(rpc::Error),
     /// the {0} address can't be listened on ({1}): check listen.{0} and that nothing else uses it
     Listen(&'static str, io::Error),
+    /// the key-value service has no usable address ({0}): write platform.key_value as in "http://10.0.0.5:2379"
+    Store(AddrParseError),
     /// a thread can't be started ({0}): check the VM's limits
     Thread(io::Error),
     /// signals can't be handled ({0}): check that the platform delivers SIGTERM
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -3,6 +3,7 @@
 //! On a stop the role goes first, while controllers still tell peers that this
 //! process is leaving; the controllers go last.
 
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
@@ -11,7 +12,9 @@
 use board::Identity;
 use control::Notices;
 use ntex::rt::System;
+use platform::Client;
 use policy::placement;
+use services::store::StoreFactory;
 use settings::Settings;
 use telemetry::Readiness;
 use telemetry::Reason;
@@ -45,6 +48,8 @@
     pub placement: placement::Kind,
     /// Tells of newer revisions that were seen on messages.
     pub notices: Notices,
+    /// Opens the key-value service on the thread that calls it.
+    pub store: StoreFactory,
     /// Ends the role.
     pub stop: CancellationToken,
     /// Ends the controllers, after the role.
@@ -61,7 +66,7 @@
     let name = telemetry::Process { vm: settings.vm.clone(), incarnation };
     telemetry::log::init(name).map_err(Error::Telemetry)?;
     let recorder = Recorder::install().map_err(Error::Telemetry)?;
-    let process = Process { placement, ..process(settings, incarnation, recorder) };
+    let process = Process { placement, ..process(settings, incarnation, recorder)? };
     let runner = System::new("lycheeknotd", ntex::rt::DefaultRuntime);
     runner.block_on(serve(process))
 }
@@ -96,7 +101,12 @@
     process.end.cancel();
 }
 
-fn process(settings: Settings, incarnation: id::Incarnation, recorder: Recorder) -> Process {
+fn process(
+    settings: Settings,
+    incarnation: id::Incarnation,
+    recorder: Recorder,
+) -> Result<Process, Error> {
+    let key_value = Client::address(&settings.platform.key_value).map_err(Error::Store)?;
     let role = match settings.role {
         settings::Role::Entry => Role::Entry,
         settings::Role::Agent => Role::Agent,
@@ -110,7 +120,7 @@
         data: settings.listen.data,
         control: settings.listen.control,
     };
-    Process {
+    Ok(Process {
         settings: Arc::new(settings),
         board: Arc::new(Board::new(identity)),
         readiness: Readiness::new(&[Reason::Starting, Reason::Configuration]),
@@ -119,7 +129,8 @@
         notices: Notices::default(),
         stop: CancellationToken::new(),
         end: CancellationToken::new(),
-    }
+        store: Arc::new(move || Rc::new(Client::new(key_value))),
+    })
 }
 
 /// Tells this run apart from earlier ones; a clock that was set back shows as
--- a/crates/daemon/src/role.rs
+++ b/crates/daemon/src/role.rs
@@ -1,11 +1,7 @@
 //! Serves the role that the settings name.
 
-use std::rc::Rc;
 use std::sync::Arc;
 
-use agent::StoreFactory;
-use services::Store;
-use services::etcd;
 use settings::Settings;
 use wire::Key;
 
@@ -45,9 +41,6 @@
 fn agent(process: &Process, engine: &settings::Engine) -> agent::Context {
     let settings = &process.settings;
     let notices = process.notices.clone();
-    let key_value = settings.platform.key_value.clone();
-    let store: StoreFactory =
-        Arc::new(move || Rc::new(etcd::Client::new(&key_value)) as Rc<dyn Store>);
     agent::Context {
         board: process.board.clone(),
         cluster: settings.cluster.clone(),
@@ -59,7 +52,7 @@
         resume_grace: settings.limit.resume_grace,
         key: key(settings),
         notice: Arc::new(move |stamp| control::notice(&notices, stamp)),
-        store,
+        store: process.store.clone(),
     }
 }
 
--- a/crates/services/src/failure.rs
+++ b/crates/services/src/failure.rs
@@ -10,8 +10,6 @@
     Unsent(String),
     /// The request may have been seen.
     Cut(String),
-    /// The other side limits our calls and did not act on this one.
-    Limited,
     /// The other side answered with this status.
     Status(u16),
     /// The answer can't be read.
--- a/crates/services/src/lib.rs
+++ b/crates/services/src/lib.rs
@@ -2,9 +2,9 @@
 //!
 //! Decisions never see a protocol: another one goes behind the same trait.
 
-pub mod etcd;
 pub mod feed;
 pub mod list;
+pub mod meter;
 pub mod store;
 pub mod vms;
 
--- a/crates/services/src/list.rs
+++ b/crates/services/src/list.rs
@@ -65,7 +65,6 @@
 fn error(failure: Failure) -> Error {
     match failure {
         Failure::Unsent(cause) | Failure::Cut(cause) => Error::Down(cause),
-        Failure::Limited => Error::Down("calls are limited".to_owned()),
         Failure::Status(status) => Error::Down(format!("status {status}")),
         Failure::Malformed(cause) => Error::Protocol(cause),
     }
--- a/crates/services/src/etcd/meter.rs
+++ b/crates/services/src/meter.rs
@@ -9,7 +9,7 @@
 use crate::store::Error;
 
 /// Counts a call once it has ended; one that was given up by its caller is not counted.
-pub(crate) fn counted<'a, T: 'a>(
+pub fn counted<'a, T: 'a>(
     call: &'static str,
     work: impl Future<Output = Result<T, Error>> + 'a,
 ) -> LocalBoxFuture<'a, Result<T, Error>> {
--- a/crates/services/src/store.rs
+++ b/crates/services/src/store.rs
@@ -1,5 +1,8 @@
 //! The key-value service as the system sees it.
 
+use std::rc::Rc;
+use std::sync::Arc;
+
 use displaydoc::Display;
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
@@ -77,6 +80,9 @@
     fn renew(&self, lease: Lease) -> LocalBoxFuture<'_, Result<bool, Error>>;
 }
 
+/// Opens a key-value service on the thread that calls it.
+pub type StoreFactory = Arc<dyn Fn() -> Rc<dyn Store> + Send + Sync>;
+
 /// Names a lease of the key-value service.
 pub type Lease = i64;
 
--- a/crates/standins/src/flags.rs
+++ b/crates/standins/src/flags.rs
@@ -34,7 +34,7 @@
     Weights(Weights),
 }
 
-/// Serves the JSON gateway of an etcd v3 key-value service.
+/// serve the store of the users' platform
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "key-value")]
 pub struct KeyValue {
--- a/crates/standins/src/key_value/mod.rs
+++ b/crates/standins/src/key_value/mod.rs
@@ -1,17 +1,14 @@
-//! The JSON gateway of an etcd v3 key-value service, in memory.
+//! The store of the users' platform, in memory.
 //!
-//! Of etcd's calls it serves range, put, delete, transactions, compaction,
-//! leases and watches. Reads of old revisions aren't served.
+//! It speaks what their pages say of reads, watches, transactions and leases.
 
+mod calls;
 mod fault;
-mod gateway;
 mod lease;
 mod message;
 mod routes;
-mod scalar;
 mod service;
 mod store;
-mod txn;
 mod watch;
 
 use std::io;
@@ -40,7 +37,7 @@
     pub outage: bool,
     /// Milliseconds added to each call.
     pub delay_ms: u64,
-    /// Number of writes that take effect and are answered with 504.
+    /// Number of writes that take effect and get no answer.
     pub lose_answers: u32,
     /// Whether all watches are cut.
     pub cut_watches: bool,
--- a/crates/standins/src/key_value/service.rs
+++ b/crates/standins/src/key_value/service.rs
@@ -86,7 +86,7 @@
         let mut state = self.state.lock();
         let late = state.leases.expired();
         for id in &late {
-            state.store.delete_lease(*id);
+            state.store.remove_leased(*id);
         }
         drop(state);
         if !late.is_empty() {
