--- a/crates/gateway/src/answering.rs
+++ b/crates/gateway/src/answering.rs
@@ -14,7 +14,7 @@
 }
 
 impl Answering {
-    /// `None` where the connection or the process ends.
+    /// `None` where the connection is closing, so that no answer can be written.
     pub(crate) fn begin(worker: &Worker, head: &HttpRequest) -> Option<Answering> {
         let busy = worker.connections.busy(head.io()?)?;
         Some(Answering { _busy: busy, _token: worker.context.answers.token() })
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -1,6 +1,5 @@
 //! Clients' connections and which of them wait for a request.
 
-use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
 
@@ -10,7 +9,6 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Connections {
     open: Rc<RefCell<Vec<Open>>>,
-    is_draining: Rc<Cell<bool>>,
 }
 
 #[derive(Debug)]
@@ -30,13 +28,9 @@
 }
 
 impl Connections {
-    /// Marks a connection as busy; `None` where it is closing already, or once the
-    /// process ends. A request that crossed the close must not be passed on, and one
-    /// that came so late might be cut off.
+    /// Marks a connection as busy; `None` where it is closing already. A request
+    /// that crossed the close must not be passed on.
     pub(crate) fn busy(&self, io: &IoRef) -> Option<Busy> {
-        if self.is_draining.get() {
-            return None;
-        }
         let mut open = self.open.borrow_mut();
         match open.iter_mut().find(|known| known.io == *io) {
             Some(known) if known.is_closing => return None,
@@ -46,10 +40,8 @@
         Some(Busy { open: Rc::clone(&self.open), io: io.clone() })
     }
 
-    /// Takes no more requests and closes all connections that wait for one; says
-    /// how many.
-    pub(crate) fn drain(&self) -> usize {
-        self.is_draining.set(true);
+    /// Closes all connections that wait for a request; says how many.
+    pub(crate) fn close_idle(&self) -> usize {
         let mut open = self.open.borrow_mut();
         let idle = open.iter_mut().filter(|known| known.requests == 0 && !known.io.is_closed());
         let mut closed = 0;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -108,13 +108,13 @@
     }
 }
 
-/// Takes no more requests once balancers lead new ones elsewhere, so that none of
-/// them is cut off as the process ends.
+/// Takes only requests that end in time once balancers lead new ones elsewhere, so
+/// that none of them is cut off as the process ends.
 async fn drain(worker: Rc<Worker>) {
     worker.context.stop.cancelled().await;
     sleep(worker.context.stop_notice).await;
-    let closed = worker.connections.drain();
-    log::info!(closed; "takes no more requests and closes idle connections");
+    let closed = worker.drain();
+    log::info!(closed; "closes idle connections and takes short requests alone");
 }
 
 async fn serve(head: HttpRequest, payload: Payload, worker: State<Rc<Worker>>) -> HttpResponse {
@@ -128,7 +128,11 @@
     let ask = worker.context.dialect.ask(&headers);
     let id = ask.id.clone();
     let table = worker.context.knowledge.table();
-    let answer = match accept(&table, &head, headers, ask, payload, start).await {
+    let accepted = match accept(&table, &head, headers, ask, payload, start).await {
+        Ok(request) if worker.may_outlast(&request) => Err(Refusal::Closing),
+        accepted => accepted,
+    };
+    let answer = match accepted {
         Ok(request) => forward::run(&worker, &Rc::new(request)).await,
         Err(refusal) => {
             record::refusal(id.as_deref(), head.path(), table.version(), refusal);
--- a/crates/gateway/src/worker.rs
+++ b/crates/gateway/src/worker.rs
@@ -1,19 +1,24 @@
 //! What the requests of one worker thread share.
 
+use std::cell::Cell;
 use std::sync::Arc;
 
 use link::Pool;
 use parking_lot::Mutex;
 use policy::retry::Share;
+use tokio::time::Instant;
 
 use crate::Context;
 use crate::connections::Connections;
+use crate::request::Request;
 
 /// What the requests of one worker thread share.
 pub(crate) struct Worker {
     pub(crate) context: Context,
     pub(crate) pool: Pool,
     pub(crate) connections: Connections,
+    /// Once the process stops, the time after which no answer is given any more.
+    ends: Cell<Option<Instant>>,
     /// Retries by service, sorted.
     retries: Mutex<Vec<(Arc<str>, Share)>>,
 }
@@ -24,10 +29,23 @@
             context,
             pool: Pool::default(),
             connections: Connections::default(),
+            ends: Cell::new(None),
             retries: Mutex::default(),
         }
     }
 
+    /// Closes idle connections, and lets no request begin that may outlast the
+    /// process; says how many connections it closed.
+    pub(crate) fn drain(&self) -> usize {
+        self.ends.set(Some(Instant::now() + self.context.stop_grace));
+        self.connections.close_idle()
+    }
+
+    /// Whether a request may be answered after the process has ended.
+    pub(crate) fn may_outlast(&self, request: &Request) -> bool {
+        self.ends.get().is_some_and(|ends| request.deadline > ends)
+    }
+
     /// Counts a first attempt at a service.
     pub(crate) fn earn_retry(&self, service: &Arc<str>) {
         self.with_share(service, Share::earn);
--- a/crates/gateway/tests/sessions/stops.rs
+++ b/crates/gateway/tests/sessions/stops.rs
@@ -58,7 +58,7 @@
 }
 
 #[test]
-fn after_the_notice_new_requests_are_refused_while_streams_end() {
+fn after_the_notice_requests_that_may_outlast_the_process_are_refused() {
     let mut answer = vec![begin()];
     for id in 1..=10 {
         answer.extend([event(id), Step::Pause(100)]);
