Read all anew after any failure of a watch

Ruled out: the gateway's processor time; the bound, which is 4 s after the 410. Change: a failed watch is followed by a read; removals just after an outage are kept as missing, as those that the read shows. A test of the feed fails without it.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -8,6 +8,7 @@
 use services::store::Change;
 use services::store::Entry;
 use services::store::Error;
+use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
@@ -73,45 +74,39 @@
                     log::info!(prefix = self.prefix, version = listing.version,
                         keys = listing.entries.len(), after_outage; "read from the store");
                     self.take_all(&listing.entries, after_outage);
+                    let start = Instant::now();
                     after_outage = self.watch(listing.version).await;
-                    pause = PAUSE;
+                    if start.elapsed() >= WATCH_WAIT {
+                        pause = PAUSE;
+                    }
                 }
                 Err(error) => {
                     log::warn!(prefix = self.prefix; "the store can't be read: {error}");
                     after_outage = true;
-                    rest(&mut pause).await;
                 }
             }
+            if after_outage {
+                rest(&mut pause).await;
+            }
         }
     }
 
-    /// Takes in changes until they are no longer held; says whether the store was away.
+    /// Takes in changes until a call fails; says whether the store was away. All is
+    /// read anew then: another watch may hear nothing until its time is over.
     async fn watch(&self, mut version: u64) -> bool {
-        let mut pause = PAUSE;
-        let mut was_away = false;
         loop {
             match self.feed.changes(self.prefix, version, WATCH_WAIT).await {
                 Ok(change) => {
-                    if was_away {
-                        log::info!(prefix = self.prefix, version; "the store answers again");
-                        // Keys that lapsed meanwhile are told as removed; a scan keeps
-                        // those that return.
-                        return true;
-                    }
                     version = change.version.max(version);
                     self.take(&change);
-                    pause = PAUSE;
                 }
                 Err(Error::Compacted) => {
                     log::warn!(prefix = self.prefix, version; "the store dropped its history");
-                    return was_away;
+                    return false;
                 }
                 Err(error) => {
-                    if !was_away {
-                        log::warn!(prefix = self.prefix, version; "the store is lost: {error}");
-                    }
-                    was_away = true;
-                    rest(&mut pause).await;
+                    log::warn!(prefix = self.prefix, version; "the store is lost: {error}");
+                    return true;
                 }
             }
         }
@@ -165,7 +160,11 @@
                 self.knowledge.set_endpoint(endpoint);
             }
             // What can't be read names no endpoint to use.
-            None => self.remove_endpoint(&entry.key),
+            None => {
+                if let Some(id) = entry.key.strip_prefix(self.prefix) {
+                    self.knowledge.drop_endpoint(id);
+                }
+            }
         }
     }
 
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -41,6 +41,8 @@
 #[derive(Debug, Default)]
 struct Fleet {
     is_known: bool,
+    /// Until then announcements may be missing because the store was away.
+    settles_at: Duration,
     /// Sorted by id.
     endpoints: Vec<Known>,
     /// Sorted by service.
@@ -119,6 +121,7 @@
         let mut fleet = self.fleet.lock();
         let is_told = |known: &Known| endpoints.iter().any(|told| told.id == known.endpoint.id);
         if after_outage {
+            fleet.settles_at = now + RETURN_TIME;
             for known in fleet.endpoints.iter_mut().filter(|known| !is_told(known)) {
                 known.missing_until.get_or_insert(now + RETURN_TIME);
             }
@@ -142,11 +145,27 @@
         self.fleet.lock().put(endpoint);
     }
 
-    /// Drops the endpoint of an id.
-    pub fn remove_endpoint(&self, id: &str) {
+    /// Drops the endpoint of an id at once.
+    pub fn drop_endpoint(&self, id: &str) {
         self.fleet.lock().endpoints.retain(|known| *known.endpoint.id != *id);
     }
 
+    /// Drops the endpoint of an id; one whose announcement may have lapsed with the
+    /// store has time to return.
+    pub fn remove_endpoint(&self, id: &str) {
+        let now = self.now();
+        let mut fleet = self.fleet.lock();
+        let settles_at = fleet.settles_at;
+        if now < settles_at {
+            fleet.with(id, |known| {
+                known.missing_until.get_or_insert(settles_at);
+            });
+        } else {
+            drop(fleet);
+            self.drop_endpoint(id);
+        }
+    }
+
     /// Drops endpoints that did not return in time.
     pub fn forget_missing(&self) {
         let now = self.now();
--- a/crates/gateway/tests/feed.rs
+++ b/crates/gateway/tests/feed.rs
@@ -182,3 +182,11 @@
     tokio::join!(gateway::follow(&knowledge, &Words, &script, cancel.clone()), end);
     assert_eq!(knowledge.table().version(), 7);
 }
+
+#[tokio::test]
+async fn after_a_broken_watch_all_is_read_at_once_and_no_other_watch_is_waited_for() {
+    let scans = vec![all(vec![announced("a", "ready")]), all(vec![announced("b", "ready")])];
+    // A second watch would hear nothing.
+    let known = follow(&Knowledge::default(), scans, vec![Err(down())], SOON).await;
+    assert_eq!(known, ["a Ready", "b Ready"]);
+}
