--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -16,9 +16,9 @@
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
-use crate::knowledge::Choice;
 use crate::request::Request;
 use crate::seat::Seat;
+use crate::wish::Choice;
 use crate::worker::Worker;
 
 /// Longest whole answer, in bytes: the longest value that the store and the
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -9,13 +9,13 @@
 use crate::attempt;
 use crate::attempt::Outcome;
 use crate::attempt::Whole;
-use crate::knowledge::Choice;
-use crate::knowledge::Wish;
 use crate::record;
 use crate::record::Pending;
 use crate::refusal::Refusal;
 use crate::relay::Relay;
 use crate::request::Request;
+use crate::wish::Choice;
+use crate::wish::Wish;
 use crate::worker::Worker;
 
 /// Endpoints that may fail to take a connection before the request is refused.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! What an outside system's words mean is left to a [`route::Dialect`].
 //! `docs/decisions/platform.md` has the design.
 
+mod accept;
 mod answer;
 mod answering;
 mod attempt;
@@ -12,6 +13,7 @@
 mod context;
 mod events;
 mod feed;
+mod fleet;
 mod forward;
 mod headers;
 mod knowledge;
@@ -21,6 +23,7 @@
 mod request;
 mod seat;
 mod server;
+mod wish;
 mod worker;
 
 pub use context::Context;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -16,7 +16,7 @@
 use route::dialect::Order;
 use tokio::time::Instant;
 
-use crate::knowledge::Choice;
+use crate::wish::Choice;
 
 /// One request of a client, read whole.
 #[derive(Debug)]
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -5,13 +5,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use bytes::BytesMut;
 use futures_util::Stream;
-use futures_util::StreamExt;
 use futures_util::stream;
-use http::HeaderMap;
-use http::header::HOST;
 use ntex::SharedCfg;
 use ntex::http::HttpServiceConfig;
 use ntex::io::IoRef;
@@ -23,12 +18,12 @@
 use ntex::web::HttpServer;
 use ntex::web::types::Payload;
 use ntex::web::types::State;
-use route::Table;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::Context;
+use crate::accept;
 use crate::answer::Answer;
 use crate::answering::Answering;
 use crate::forward;
@@ -36,7 +31,6 @@
 use crate::record;
 use crate::refusal::Refusal;
 use crate::relay::Relay;
-use crate::request::Request;
 use crate::worker::Worker;
 
 /// Idle connections are kept for longer than clients use them again, so that none
@@ -128,7 +122,7 @@
     let ask = worker.context.dialect.ask(&headers);
     let id = ask.id.clone();
     let table = worker.context.knowledge.table();
-    let accepted = match accept(&table, &head, headers, ask, payload, start).await {
+    let accepted = match accept::whole(&table, &head, headers, ask, payload, start).await {
         Ok(request) if worker.may_outlast(&request) => Err(Refusal::Closing),
         accepted => accepted,
     };
@@ -182,67 +176,3 @@
         response.force_close();
     }
 }
-
-/// Finds what a request is for and reads it whole.
-async fn accept(
-    table: &Table,
-    head: &HttpRequest,
-    headers: HeaderMap,
-    ask: route::Ask,
-    payload: Payload,
-    start: Instant,
-) -> Result<Request, Refusal> {
-    if table.version() == 0 {
-        return Err(Refusal::NoTable);
-    }
-    let host = host(&headers);
-    let rule = table.rule(&host, head.path()).ok_or(Refusal::NoRoute)?.clone();
-    let account = match (&ask.key, rule.is_public || !table.has_accounts()) {
-        (Some(key), _) if table.account(key).is_some() => table.account(key).cloned(),
-        (_, true) => None,
-        _ => return Err(Refusal::NoAccount),
-    };
-    let patience = ask.patience.map_or(rule.timeout, |patience| patience.min(rule.timeout));
-    let deadline = start + patience;
-    let body = read(payload, table.limits().body_bytes).await?;
-    let uri = head.uri();
-    let target = uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
-    let service = rule.service(ask.id.as_deref().unwrap_or_default()).clone();
-    let method = head.method().clone();
-    let version = table.version();
-    Ok(Request {
-        method,
-        target,
-        headers,
-        body,
-        ask,
-        rule,
-        service,
-        account,
-        version,
-        start,
-        deadline,
-    })
-}
-
-async fn read(mut payload: Payload, most: usize) -> Result<Bytes, Refusal> {
-    let mut body = BytesMut::new();
-    while let Some(chunk) = payload.next().await {
-        let chunk = chunk.map_err(|error| {
-            log::info!("a body can't be read: {error}");
-            Refusal::BadBody
-        })?;
-        if body.len() + chunk.len() > most {
-            return Err(Refusal::TooLong);
-        }
-        body.extend_from_slice(&chunk);
-    }
-    Ok(body.freeze())
-}
-
-/// The host that a request names, without its port.
-fn host(headers: &HeaderMap) -> String {
-    let value = headers.get(HOST).and_then(|value| value.to_str().ok()).unwrap_or_default();
-    let host = value.rsplit_once(':').map_or(value, |(host, _)| host);
-    host.to_ascii_lowercase()
-}
