--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -18,6 +18,11 @@
 /// silent is seen at its end at the latest, before a change is due everywhere.
 const WATCH_WAIT: Duration = Duration::from_secs(3);
 
+/// The pause after changes of endpoints, so that one call tells of those that come
+/// together: each call of each process is charged, and an endpoint that leaves must
+/// get nothing new two seconds later.
+const BATCH: Duration = Duration::from_millis(400);
+
 /// The first pause after a failed call, doubled up to [`PAUSE_MOST`].
 const PAUSE: Duration = Duration::from_millis(50);
 
@@ -99,6 +104,9 @@
                 Ok(change) => {
                     version = change.version.max(version);
                     self.take(&change);
+                    if matches!(self.part, Part::Endpoints) && !change.is_empty() {
+                        sleep(BATCH).await;
+                    }
                 }
                 Err(Error::Compacted) => {
                     log::warn!(prefix = self.prefix, version; "the store dropped its history");
--- a/crates/services/src/store.rs
+++ b/crates/services/src/store.rs
@@ -108,6 +108,13 @@
     pub removed: Vec<String>,
 }
 
+impl Change {
+    /// Whether nothing changed.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty() && self.removed.is_empty()
+    }
+}
+
 /// Writes that happen all or not at all.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Commit {
