--- /dev/null
+++ b/crates/settings/tests/gateway.rs
@@ -0,0 +1,116 @@
+//! A gateway's file in, its settings or all faults out.
+
+use expect_test::Expect;
+use expect_test::expect;
+use settings::File;
+use settings::key;
+
+const SOUND: &str = r#"role = "gateway"
+vm = "g-1"
+centre = "s1"
+[listen]
+clients = "10.0.1.7:7001"
+admin = "10.0.1.7:7003"
+[platform]
+store = "10.0.0.5:2379"
+[limit]
+descriptors = 4100
+stop_notice_ms = 2600
+stop_grace_ms = 5000
+[retry]
+ratio = 0.2
+slack = 58
+processes = 8
+"#;
+
+fn check(text: &str, expected: Expect) {
+    let shown = match File::parse(text) {
+        Ok(File::Gateway(gateway)) => format!("{gateway:#?}\n"),
+        Ok(File::Fleet(_)) => "the settings of another role\n".to_owned(),
+        Err(error) => format!("{error}\n"),
+    };
+    expected.assert_eq(&shown);
+}
+
+#[test]
+fn a_sound_file_is_read() {
+    check(
+        SOUND,
+        expect![[r#"
+        Gateway {
+            vm: "g-1",
+            centre: "s1",
+            clients: 10.0.1.7:7001,
+            admin: 10.0.1.7:7003,
+            store: 10.0.0.5:2379,
+            connections: 2050,
+            retry_ratio: 0.2,
+            retry_slack: 58.0,
+            processes: 8,
+            stop_notice: 2.6s,
+            stop_grace: 5s,
+        }
+    "#]],
+    );
+}
+
+#[test]
+fn all_faults_are_told_at_once() {
+    let text = SOUND
+        .replace("\"10.0.1.7:7003\"", "\"10.0.1.7:7001\"")
+        .replace("\"10.0.0.5:2379\"", "\"store\"")
+        .replace("descriptors = 4100", "descriptor = 4100")
+        .replace("0.2", "\"much\"")
+        .replace("processes = 8", "processes = 0");
+    check(
+        &text,
+        expect![[r#"
+        the settings have faults; mend these lines:
+          line 6, `listen.admin`: is already taken by another listener; choose a port of its own
+          line 8, `platform.store`: is not a socket address; write an IP number and a port, as in "10.0.0.7:7001"
+          line 9, `limit.descriptors`: is missing; add a whole number
+          line 10, `limit.descriptor`: is not known; remove it or use one of: descriptors, stop_notice_ms, stop_grace_ms
+          line 14, `retry.ratio`: has the wrong type; write a number, as in 0.2
+          line 16, `retry.processes`: is out of range; use a whole number from 1 to 100000
+    "#]],
+    );
+}
+
+#[test]
+fn a_file_that_is_no_toml_is_refused() {
+    check(
+        "role = \"gateway\"\nvm = \n",
+        expect![[r#"
+        the settings have faults; mend these lines:
+          line 1, `centre`: is missing; add a name in quotes
+          line 1, `listen.clients`: is missing; add an address, as in "10.0.0.7:7001"
+          line 1, `listen.admin`: is missing; add an address, as in "10.0.0.7:7001"
+          line 1, `platform.store`: is missing; add an address, as in "10.0.0.7:7001"
+          line 1, `limit.descriptors`: is missing; add a whole number
+          line 1, `limit.stop_notice_ms`: is missing; add a whole number
+          line 1, `limit.stop_grace_ms`: is missing; add a whole number
+          line 1, `retry.ratio`: is missing; add a number, as in 0.2
+          line 1, `retry.slack`: is missing; add a number, as in 0.2
+          line 1, `retry.processes`: is missing; add a whole number
+          line 2, `file`: is not valid TOML (string values must be quoted, expected literal string); mend this line
+          line 2, `vm`: is not an identifier; use 1 to 64 ASCII letters, digits, `-`, `_` or `.`
+    "#]],
+    );
+}
+
+#[test]
+fn the_page_names_each_key() {
+    let path = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/SETTINGS.md");
+    let page = std::fs::read_to_string(path).expect("the page");
+    let (_, part) = page.split_once("\n## Gateway\n").expect("the part on gateways");
+    let sections = [
+        key::GATEWAY_ROOT,
+        key::GATEWAY_LISTEN,
+        key::GATEWAY_PLATFORM,
+        key::GATEWAY_LIMIT,
+        key::GATEWAY_RETRY,
+    ];
+    for name in sections.concat() {
+        assert!(part.contains(&format!("\n{name} = ")), "{name}");
+    }
+}
