Look up a service's outliers in one place; drop what nobody calls

The gateway's fleet searched for them in two functions with the same lines, and Pool::forget had no caller. Behaviour is the same; tests of link and gateway pass.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -200,20 +200,22 @@
         is_sound.then_some(source.endpoint.address)
     }
 
+    fn outliers_of(&self, service: &str) -> Option<&Outliers> {
+        let found = self.outliers.binary_search_by(|(name, _)| (**name).cmp(service)).ok()?;
+        Some(&self.outliers[found].1)
+    }
+
     fn verdict(&self, endpoint: &Endpoint, now: Duration) -> Verdict {
-        let found = self.outliers.binary_search_by(|(name, _)| name.cmp(&endpoint.service));
-        let Ok(index) = found else { return Verdict::Open };
-        let verdicts = self.outliers[index].1.verdicts(&[&endpoint.id], now);
+        let Some(outliers) = self.outliers_of(&endpoint.service) else { return Verdict::Open };
+        let verdicts = outliers.verdicts(&[&endpoint.id], now);
         verdicts.first().copied().unwrap_or(Verdict::Open)
     }
 
     /// Leaves out endpoints that fail, but never so many that the rest can't carry their work.
     fn sound<'a>(&self, service: &str, open: Vec<&'a Known>, now: Duration) -> Vec<&'a Known> {
-        let Ok(index) = self.outliers.binary_search_by(|(name, _)| (**name).cmp(service)) else {
-            return open;
-        };
+        let Some(outliers) = self.outliers_of(service) else { return open };
         let names: Vec<&str> = open.iter().map(|known| &*known.endpoint.id).collect();
-        let verdicts = self.outliers[index].1.verdicts(&names, now);
+        let verdicts = outliers.verdicts(&names, now);
         let pairs = open.iter().zip(verdicts);
         let sound = pairs.filter(|(_, verdict)| *verdict == Verdict::Open);
         let sound: Vec<&Known> = sound.map(|(known, _)| *known).collect();
--- a/crates/link/src/pool.rs
+++ b/crates/link/src/pool.rs
@@ -56,11 +56,6 @@
         }
     }
 
-    /// Closes all idle connections to an address.
-    pub fn forget(&self, address: SocketAddr) {
-        self.idle.lock().retain(|(known, _)| *known != address);
-    }
-
     /// Closes idle connections whose time is over.
     pub fn sweep(&self) {
         let now = Instant::now();
