Copy shared parts only from endpoints that don't fail

Ruled out: that the announcement's state matters; an endpoint that leaves still has the part and is copied from (test). Change: policy::outlier says of one endpoint whether it fails, whatever the others do. Test: gateway sessions, copies: failed before with Kv-Fetch naming the dark source.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -196,7 +196,7 @@
         let source = self.endpoints.iter().find(|known| place(&known.endpoint.id) == last)?;
         let is_sound = source.missing_until.is_none()
             && !source.is_replaced
-            && self.verdict(&source.endpoint, now) == Verdict::Open;
+            && !self.is_failing(&source.endpoint);
         is_sound.then_some(source.endpoint.address)
     }
 
@@ -205,10 +205,9 @@
         Some(&self.outliers[found].1)
     }
 
-    fn verdict(&self, endpoint: &Endpoint, now: Duration) -> Verdict {
-        let Some(outliers) = self.outliers_of(&endpoint.service) else { return Verdict::Open };
-        let verdicts = outliers.verdicts(&[&endpoint.id], now);
-        verdicts.first().copied().unwrap_or(Verdict::Open)
+    fn is_failing(&self, endpoint: &Endpoint) -> bool {
+        let outliers = self.outliers_of(&endpoint.service);
+        outliers.is_some_and(|outliers| outliers.is_failing(&endpoint.id))
     }
 
     /// Leaves out endpoints that fail, but never so many that the rest can't carry their work.
--- a/crates/gateway/tests/sessions/main.rs
+++ b/crates/gateway/tests/sessions/main.rs
@@ -1,5 +1,6 @@
 //! Whole sessions: what clients send, what endpoints see, what clients get.
 
+mod copies;
 mod requests;
 mod stops;
 mod streams;
--- a/crates/gateway/tests/sessions/support/scene.rs
+++ b/crates/gateway/tests/sessions/support/scene.rs
@@ -43,11 +43,16 @@
         let scene = Scene::unconfigured();
         let table = Words.table(CONFIGURATION.as_bytes()).expect("a configuration");
         assert!(scene.knowledge.set_table(table));
-        let told = endpoints.iter().map(|endpoint| announced(service, endpoint));
+        let told = endpoints.iter().map(|endpoint| announced(service, endpoint, "ready"));
         scene.knowledge.set_endpoints(told.collect(), false);
         scene
     }
 
+    /// The gateway learns that an endpoint takes no new work.
+    pub fn drain(&self, service: &str, endpoint: &Endpoint) {
+        self.knowledge.set_endpoint(announced(service, endpoint, "draining"));
+    }
+
     /// A gateway that knows nothing yet.
     pub fn unconfigured() -> Scene {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
@@ -81,10 +86,10 @@
     }
 }
 
-fn announced(service: &str, endpoint: &Endpoint) -> route::Endpoint {
+fn announced(service: &str, endpoint: &Endpoint, state: &str) -> route::Endpoint {
     let value = format!(
         r#"{{"service": "{service}", "address": "{}", "zone": "a", "version": "v1", "slots": 8,
-            "state": "ready", "cold_left_ms": 0, "seq": 1, "born": 5}}"#,
+            "state": "{state}", "cold_left_ms": 0, "seq": 1, "born": 5}}"#,
         endpoint.address
     );
     Words.endpoint(&format!("servers/{}", endpoint.id), value.as_bytes()).expect("an endpoint")
--- a/crates/policy/src/outlier/mod.rs
+++ b/crates/policy/src/outlier/mod.rs
@@ -77,6 +77,12 @@
         verdicts
     }
 
+    /// Whether an engine failed and has not answered well since, whatever the
+    /// others do. One that isn't needed to carry work is better left alone then.
+    pub fn is_failing(&self, engine: &str) -> bool {
+        self.find(engine).is_ok_and(|index| self.engines[index].health.is_ejected())
+    }
+
     /// Takes the one probe that an engine is due; says whether this request may be it.
     pub fn probe(&mut self, engine: &str, now: Duration) -> bool {
         let health = &mut self.engine(engine, now).health;
--- a/crates/policy/tests/outlier.rs
+++ b/crates/policy/tests/outlier.rs
@@ -123,3 +123,14 @@
     }
     assert!(outliers.verdicts(&NAMES, seconds(0)).iter().all(|open| *open == Verdict::Open));
 }
+
+#[test]
+fn a_failing_engine_is_known_as_such_also_where_none_may_be_left_out() {
+    let mut outliers = Outliers::default();
+    assert!(!outliers.is_failing("a"));
+    fail(&mut outliers, "a", 3, seconds(0));
+    assert_eq!(outliers.verdicts(&["a"], seconds(0)), [Verdict::Open]);
+    assert!(outliers.is_failing("a"));
+    outliers.answered("a", FAST, seconds(1));
+    assert!(!outliers.is_failing("a"));
+}
