Hold the ports of a test's deployment while its processes are away

Shown by its status 403: only jsonrpsee's WebSocket-only server gives it in this workspace, and it listens on control ports alone. Change: ports are held by a socket that is bound and doesn't listen, until the deployment ends; a process that is started again finds its own. Test: fleet ports; the listener that held ports before left no room for the process.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -17,6 +17,7 @@
 use crate::late::Late;
 use crate::node::Node;
 use crate::operator::Operator;
+use crate::ports::Ports;
 use crate::process::Process;
 use crate::standin::Standin;
 use crate::start::Start;
@@ -50,6 +51,8 @@
     pub operator: Operator,
     /// The same for each entry alone, in their order.
     pub views: Vec<Operator>,
+    /// Held until all processes have ended, so that one that is started again finds its own.
+    pub(crate) _ports: Ports,
     pub(crate) folder: Folder,
 }
 
--- a/crates/fleet/src/ports.rs
+++ b/crates/fleet/src/ports.rs
@@ -1,17 +1,25 @@
 //! Addresses with free ports.
 
+use std::io;
 use std::net::IpAddr;
 use std::net::SocketAddr;
-use std::net::TcpListener;
+
+use socket2::Domain;
+use socket2::Socket;
+use socket2::Type;
 
 use crate::Error;
 
 /// Hands out addresses with free ports and keeps them from others until it is
 /// dropped. The VM list has to name the addresses before any process of the
 /// system runs, so the processes can't choose them.
+///
+/// A port is held by a socket that is bound but doesn't listen. A process that
+/// allows the reuse of addresses may listen there meanwhile, as often as it is
+/// started; no other deployment gets the port while that process is away.
 #[derive(Debug, Default)]
 pub struct Ports {
-    held: Vec<TcpListener>,
+    held: Vec<Socket>,
 }
 
 impl Ports {
@@ -22,9 +30,22 @@
     /// [`Error::Port`] where the IP number is none of this machine.
     pub fn reserve(&mut self, address: IpAddr) -> Result<SocketAddr, Error> {
         let failure = |source| Error::Port { address, source };
-        let listener = TcpListener::bind(SocketAddr::new(address, 0)).map_err(failure)?;
-        let reserved = listener.local_addr().map_err(failure)?;
-        self.held.push(listener);
+        let socket = bound(address).map_err(failure)?;
+        let reserved = socket.local_addr().map_err(failure)?;
+        let reserved = reserved.as_socket().ok_or_else(|| failure(not_internet()))?;
+        self.held.push(socket);
         Ok(reserved)
     }
 }
+
+fn bound(address: IpAddr) -> io::Result<Socket> {
+    let address = SocketAddr::new(address, 0);
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    Ok(socket)
+}
+
+fn not_internet() -> io::Error {
+    io::Error::new(io::ErrorKind::AddrNotAvailable, "the socket has no IP address")
+}
--- a/crates/fleet/src/start.rs
+++ b/crates/fleet/src/start.rs
@@ -85,15 +85,15 @@
             vms: vms.url(""),
             weights: Some(weights.url("")),
         };
-        drop(std::mem::take(&mut self.ports));
         let operator = self.operator("profile", &platform, &entries)?;
         let view =
             |entry: &Seat| self.operator(&entry.vm.vm, &platform, std::slice::from_ref(entry));
         let views = entries.iter().map(view).collect::<Result<_, _>>()?;
         let entries = self.start_entries(entries, &platform)?;
         let endpoints = self.start_agents(backends, &platform)?;
-        let folder = self.folder;
-        let fleet = Fleet { entries, endpoints, key_value, vms, weights, operator, views, folder };
+        let Start { folder, ports: _ports, .. } = self;
+        let fleet =
+            Fleet { entries, endpoints, key_value, vms, weights, operator, views, _ports, folder };
         for node in fleet.nodes() {
             node.process.listening()?;
         }
