Let gateways that the store turns away learn from their peers

Cause: a gateway whose store calls fail serves with an ever older view. Ruled out: the store's rate and history (others were served), placement (the gateways that read the store lost nothing). Change: each gateway keeps the keys as it last read them, registers in the store with a lease and answers rpc::view; one whose call failed asks up to three peers a second.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -1,11 +1,13 @@
 //! Runs a gateway.
 
+use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::sync::Arc;
 use std::time::Duration;
 
 use gateway::Context;
 use gateway::Knowledge;
+use gateway::Peers;
 use ntex::rt::System;
 use platform::Client;
 use platform::Words;
@@ -51,7 +53,9 @@
     let admin = admin::start(settings.admin, source)?;
     let knowledge = Arc::new(Knowledge::default());
     ntex::rt::spawn(recorder.upkeep(end.clone()));
-    ntex::rt::spawn(follow_store(settings.clone(), Arc::clone(&knowledge), end.clone()));
+    let peers = Arc::new(Peers::new(Arc::clone(&knowledge), settings.seeds.clone()));
+    ntex::rt::spawn(answer_peers(settings.control, Arc::clone(&peers), end.clone()));
+    ntex::rt::spawn(follow_store(settings.clone(), peers, end.clone()));
     ntex::rt::spawn(follow_readiness(readiness, Arc::clone(&knowledge), stop.clone()));
     log::info!(clients:% = settings.clients, centre = settings.centre.as_str(); "started");
     let served = gateway::serve_on(listener, context(&settings, knowledge, stop)).await;
@@ -61,9 +65,19 @@
     served.map_err(|error| Error::Listen("clients", error))
 }
 
-async fn follow_store(settings: Gateway, knowledge: Arc<Knowledge>, end: CancellationToken) {
+async fn follow_store(settings: Gateway, peers: Arc<Peers>, end: CancellationToken) {
     let client = Client::new(settings.store);
-    gateway::follow(&knowledge, &Words, &client, end).await;
+    let followed = gateway::follow(&Words, &client, &peers, end.clone());
+    let Gateway { vm, control, .. } = &settings;
+    let registered = gateway::register(&client, &peers, vm, *control, end);
+    tokio::join!(followed, registered);
+}
+
+/// A gateway whose peers can't ask it serves all the same.
+async fn answer_peers(listen: SocketAddr, peers: Arc<Peers>, end: CancellationToken) {
+    if let Err(error) = rpc::view::serve(listen, peers, end).await {
+        log::error!("peers can't be answered: {error}");
+    }
 }
 
 /// Makes the process ready once it can serve, and no longer once it is to stop.
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -39,6 +39,6 @@
     }
     match file {
         File::Fleet(settings) => process::run(*settings, flags.placement),
-        File::Gateway(settings) => gateway::run(settings),
+        File::Gateway(settings) => gateway::run(*settings),
     }
 }
--- a/crates/fleet/tests/soak/main.rs
+++ b/crates/fleet/tests/soak/main.rs
@@ -11,10 +11,13 @@
 mod mood;
 mod plan;
 mod proxy;
+mod turned_away;
 mod world;
 
 use std::ops::Range;
 
+use crate::proxy::Mode;
+
 /// The seeds of CI: one of planned work alone, and three with faults.
 const SHORT: Range<u64> = 0..4;
 
@@ -37,6 +40,14 @@
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
 
+#[tokio::test]
+async fn a_gateway_that_the_store_turns_away_follows_its_peers() {
+    for mode in [Mode::Reset, Mode::Silent] {
+        let broken = turned_away::play(mode).await;
+        assert!(broken.is_empty(), "{mode:?}: {}", broken.join("\n"));
+    }
+}
+
 fn seeds(text: &str) -> Vec<u64> {
     let (from, to) = text.split_once("..").unwrap_or((text, text));
     let from: u64 = from.parse().expect("a first seed");
--- a/crates/fleet/tests/soak/world.rs
+++ b/crates/fleet/tests/soak/world.rs
@@ -1,5 +1,6 @@
 //! The processes, stand-ins and faults of one seed.
 
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
@@ -7,13 +8,13 @@
 use std::time::Instant;
 
 use fleet::Binaries;
+use fleet::Ports;
 use fleet::Process;
 use fleet::Standin;
 use platform::Client;
 use services::Store;
 use services::store::Commit;
 use services::store::Put;
-use tokio::net::TcpListener;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
@@ -48,23 +49,24 @@
 /// The store holds the newest configuration here.
 const CONFIGURATION: &str = "op/config";
 
-struct Gateway {
+pub struct Gateway {
     process: Process,
     clients: SocketAddr,
     settings: PathBuf,
-    to_store: Proxy,
+    pub to_store: Proxy,
     /// The newest configuration that this run of the process has shown.
-    shown: u64,
+    pub shown: u64,
 }
 
-struct World {
+pub struct World {
     folder: PathBuf,
     store: Standin,
     operator: Client,
-    gateways: Vec<Gateway>,
+    ports: Ports,
+    pub gateways: Vec<Gateway>,
     endpoints: Vec<(Endpoint, Proxy)>,
-    ledger: Ledger,
-    version: u64,
+    pub ledger: Ledger,
+    pub version: u64,
     names: u64,
 }
 
@@ -108,7 +110,7 @@
 }
 
 impl World {
-    async fn start(folder: &Path) -> World {
+    pub async fn start(folder: &Path) -> World {
         let binaries = Binaries::beside();
         let args = ["key-value".to_owned()];
         let address = "127.0.0.1".parse().expect("an address");
@@ -119,6 +121,7 @@
             folder: folder.to_owned(),
             store,
             operator,
+            ports: Ports::default(),
             gateways: Vec::new(),
             endpoints: Vec::new(),
             ledger,
@@ -133,8 +136,9 @@
             world.endpoints.push((endpoint, proxy));
             world.announce(world.endpoints.len() - 1, "ready").await;
         }
+        let controls: Vec<SocketAddr> = (0..GATEWAYS).map(|_| world.port()).collect();
         for index in 0..GATEWAYS {
-            let gateway = world.gateway(index, &binaries).await;
+            let gateway = world.gateway(index, &controls, &binaries).await;
             world.gateways.push(gateway);
         }
         for index in 0..GATEWAYS {
@@ -143,14 +147,19 @@
         world
     }
 
-    async fn gateway(&self, index: usize, binaries: &Binaries) -> Gateway {
+    async fn gateway(
+        &mut self,
+        index: usize,
+        controls: &[SocketAddr],
+        binaries: &Binaries,
+    ) -> Gateway {
         let to_store = Proxy::start(self.store.address).await;
-        let (clients, admin) = (free().await, free().await);
+        let (clients, admin, control) = (self.port(), self.port(), controls[index]);
         let text = format!(
             "role = \"gateway\"\nvm = \"g{index}\"\ncentre = \"a\"\n\n[listen]\nclients = \"{clients}\"\n\
-             admin = \"{admin}\"\n\n[platform]\nstore = \"{}\"\n\n[limit]\ndescriptors = 1000\n\
+             admin = \"{admin}\"\ncontrol = \"{control}\"\n\n[peer]\nseeds = [\"{}\"]\n\n[platform]\nstore = \"{}\"\n\n[limit]\ndescriptors = 1000\n\
              stop_notice_ms = 300\nstop_grace_ms = 5000\n\n[retry]\nratio = 0.2\nslack = 60\nprocesses = 3\n",
-            to_store.address
+            controls[0], to_store.address
         );
         let settings = self.folder.join(format!("g{index}.toml"));
         std::fs::write(&settings, text).expect("the settings");
@@ -158,6 +167,10 @@
         Gateway { process, clients, settings, to_store, shown: 0 }
     }
 
+    fn port(&mut self) -> SocketAddr {
+        self.ports.reserve(Ipv4Addr::LOCALHOST.into()).expect("a free port")
+    }
+
     /// Carries out the faults in their time, and looks at configurations meanwhile.
     async fn run(&mut self, steps: Vec<Step>) {
         let start = Instant::now();
@@ -186,7 +199,7 @@
         }
     }
 
-    async fn begin(&mut self, fault: &Fault) {
+    pub async fn begin(&mut self, fault: &Fault) {
         match fault {
             Fault::KillGateway(index) => self.gateways[*index].process.kill(),
             Fault::FreezeGateway(index) => self.gateways[*index].process.freeze().unwrap_or(()),
@@ -214,7 +227,7 @@
         }
     }
 
-    async fn end(&mut self, fault: &Fault) {
+    pub async fn end(&mut self, fault: &Fault) {
         match fault {
             Fault::KillGateway(index) => self.restart(*index),
             Fault::FreezeGateway(index) => self.gateways[*index].process.thaw().unwrap_or(()),
@@ -264,7 +277,7 @@
     }
 
     /// A gateway never loses a route of a configuration that it has shown.
-    async fn probe(&mut self) {
+    pub async fn probe(&mut self) {
         for gateway in &mut self.gateways {
             let pid = gateway.process.pid();
             let Some(known) = client::probe(gateway.clients, self.version).await else { continue };
@@ -373,8 +386,3 @@
     let args = ["--settings".to_owned(), settings.display().to_string()];
     Process::start(&format!("g{index}"), &program, &args, logs).expect("the daemon starts")
 }
-
-async fn free() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-    listener.local_addr().expect("an address")
-}
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -4,7 +4,9 @@
 
 use rand::RngExt;
 use route::Dialect;
+use rpc::view::Copy;
 use services::Feed;
+use services::feed::Listing;
 use services::store::Change;
 use services::store::Entry;
 use services::store::Error;
@@ -13,6 +15,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::Knowledge;
+use crate::peer;
+use crate::peer::Peers;
 
 /// How long the store holds a call that waits for changes. A connection that went
 /// silent is seen at its end at the latest, before a change is due everywhere.
@@ -33,15 +37,20 @@
 /// How often endpoints that did not return are looked for.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(200);
 
+/// How often peers are asked while the store turns this process away: changes are
+/// to be in force everywhere within a few seconds.
+const ASK_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Follows configuration and endpoints until the token is cancelled.
 pub async fn follow(
-    knowledge: &Knowledge,
     dialect: &dyn Dialect,
     feed: &dyn Feed,
+    peers: &Peers,
     cancel: CancellationToken,
 ) {
-    let table =
-        Topic { knowledge, dialect, feed, prefix: dialect.table_prefix(), part: Part::Table };
+    let knowledge = peers.knowledge();
+    let prefix = dialect.table_prefix();
+    let table = Topic { knowledge, dialect, feed, peers, prefix, part: Part::Table };
     let endpoints =
         Topic { prefix: dialect.endpoint_prefix(), part: Part::Endpoints, ..table.clone() };
     let sweep = async {
@@ -50,7 +59,18 @@
             knowledge.forget_missing();
         }
     };
-    let all = async { tokio::join!(table.follow(), endpoints.follow(), sweep) };
+    let relay = async {
+        loop {
+            sleep(ASK_INTERVAL).await;
+            let missed = peers.mirror().missed();
+            let copies = if missed.is_empty() { Vec::new() } else { peer::ask(peers).await };
+            for copy in copies {
+                let topic = if copy.prefix == table.prefix { &table } else { &endpoints };
+                topic.adopt(&copy);
+            }
+        }
+    };
+    let all = async { tokio::join!(table.follow(), endpoints.follow(), sweep, relay) };
     cancel.run_until_cancelled(all).await;
 }
 
@@ -65,6 +85,7 @@
     knowledge: &'a Knowledge,
     dialect: &'a dyn Dialect,
     feed: &'a dyn Feed,
+    peers: &'a Peers,
     prefix: &'a str,
     part: Part,
 }
@@ -75,18 +96,26 @@
         let mut after_outage = false;
         loop {
             match self.feed.scan(self.prefix).await {
+                Ok(listing) if listing.version < self.peers.mirror().version(self.prefix) => {
+                    log::warn!(prefix = self.prefix, version = listing.version;
+                        "the store's answer is older than what a peer told");
+                    after_outage = true;
+                }
                 Ok(listing) => {
                     log::info!(prefix = self.prefix, version = listing.version,
                         keys = listing.entries.len(), after_outage; "read from the store");
                     self.take_all(&listing.entries, after_outage);
+                    let version = listing.version;
+                    self.peers.mirror().read(self.prefix, listing, self.knowledge.now());
                     let start = Instant::now();
-                    after_outage = self.watch(listing.version).await;
+                    after_outage = self.watch(version).await;
                     if start.elapsed() >= WATCH_WAIT {
                         pause = PAUSE;
                     }
                 }
                 Err(error) => {
                     log::warn!(prefix = self.prefix; "the store can't be read: {error}");
+                    self.peers.mirror().lost(self.prefix);
                     after_outage = true;
                 }
             }
@@ -104,6 +133,7 @@
                 Ok(change) => {
                     version = change.version.max(version);
                     self.take(&change);
+                    self.peers.mirror().changed(self.prefix, &change, self.knowledge.now());
                     if matches!(self.part, Part::Endpoints) && !change.is_empty() {
                         sleep(BATCH).await;
                     }
@@ -114,12 +144,23 @@
                 }
                 Err(error) => {
                     log::warn!(prefix = self.prefix, version; "the store is lost: {error}");
+                    self.peers.mirror().lost(self.prefix);
                     return true;
                 }
             }
         }
     }
 
+    /// Takes in what a peer knows. What is missing there may have lapsed with the store.
+    fn adopt(&self, copy: &Copy) {
+        if !self.peers.mirror().adopt(copy) {
+            return;
+        }
+        let Listing { entries, version } = &copy.listing;
+        log::info!(prefix = self.prefix, version, keys = entries.len(); "learnt from a peer");
+        self.take_all(entries, true);
+    }
+
     fn take_all(&self, entries: &[Entry], after_outage: bool) {
         match self.part {
             Part::Table => entries.iter().for_each(|entry| self.take_table(entry)),
--- /dev/null
+++ b/crates/gateway/src/peer/asking.rs
@@ -0,0 +1,58 @@
+//! Asks peers for what the store didn't tell.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::seq::SliceRandom;
+use rpc::view;
+use rpc::view::Copy;
+use rpc::view::Tell;
+use tokio::time::timeout;
+
+use crate::peer::Peers;
+
+/// Peers that are asked at a time: with half of them turned away as well, seven
+/// of eight rounds find one that isn't.
+const ASKED: usize = 3;
+
+/// Time for a peer's answer, several round trips between data centres.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// What some peer knows beyond what is known here, under the prefixes whose changes
+/// are missed; nothing where no peer that was asked hears from the store.
+pub(crate) async fn ask(peers: &Peers) -> Vec<Copy> {
+    let mut addresses = peers.addresses();
+    addresses.shuffle(&mut rand::rng());
+    let mut asked: Vec<SocketAddr> = Vec::new();
+    while let Some(address) = addresses.pop() {
+        if asked.contains(&address) {
+            continue;
+        }
+        if asked.len() == ASKED {
+            break;
+        }
+        asked.push(address);
+        let Some(tell) = ask_one(peers, address).await else { continue };
+        if tell.is_current {
+            return tell.copies;
+        }
+        addresses.extend(tell.peers);
+    }
+    log::info!(asked:? = asked; "no peer hears from the store");
+    Vec::new()
+}
+
+async fn ask_one(peers: &Peers, address: SocketAddr) -> Option<Tell> {
+    let known = peers.mirror().missed();
+    match timeout(ANSWER_TIMEOUT, view::ask(address, &known)).await {
+        Ok(Ok(tell)) => Some(tell),
+        Ok(Err(error)) => {
+            log::info!("{error}");
+            None
+        }
+        Err(_) => {
+            log::info!(peer:% = address; "a peer doesn't answer in {ANSWER_TIMEOUT:?}");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peer/peers.rs
@@ -0,0 +1,71 @@
+//! Where other gateways are, and what this one can tell them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use parking_lot::MutexGuard;
+use rpc::view::Known;
+use rpc::view::Source;
+use rpc::view::Tell;
+
+use crate::Knowledge;
+use crate::peer::Mirror;
+
+/// Addresses that an answer names, so that it stays small in a large fleet.
+const NAMED: usize = 8;
+
+/// Where other gateways are, and what this one can tell them.
+///
+/// Lock order: `registered`, then `mirror`. No lock is held across an await.
+#[derive(Debug, Default)]
+pub struct Peers {
+    /// Where peers were when the fleet was set up; some may be gone.
+    seeds: Vec<SocketAddr>,
+    /// Gateways that the store lists, this one too.
+    registered: Mutex<Vec<SocketAddr>>,
+    mirror: Mutex<Mirror>,
+    knowledge: Arc<Knowledge>,
+}
+
+impl Peers {
+    /// Knows the seeds alone.
+    pub fn new(knowledge: Arc<Knowledge>, seeds: Vec<SocketAddr>) -> Peers {
+        Peers { seeds, knowledge, ..Peers::default() }
+    }
+
+    /// Takes in where the gateways of the fleet are.
+    pub fn set_registered(&self, registered: Vec<SocketAddr>) {
+        *self.registered.lock() = registered;
+    }
+
+    /// All addresses under which a peer may be found, sorted.
+    pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
+        let mut all = self.registered.lock().clone();
+        all.extend(&self.seeds);
+        all.sort_unstable();
+        all.dedup();
+        all
+    }
+
+    /// The store's keys as they are known here.
+    pub(crate) fn mirror(&self) -> MutexGuard<'_, Mirror> {
+        self.mirror.lock()
+    }
+
+    pub(crate) fn knowledge(&self) -> &Knowledge {
+        &self.knowledge
+    }
+}
+
+impl Source for Peers {
+    fn beyond(&self, known: &[Known]) -> Tell {
+        let mut peers = self.addresses();
+        peers.truncate(NAMED);
+        let mirror = self.mirror.lock();
+        if !mirror.is_current(self.knowledge.now()) {
+            return Tell { peers, ..Tell::default() };
+        }
+        Tell { is_current: true, copies: mirror.beyond(known), peers }
+    }
+}
--- a/crates/gateway/tests/feed.rs
+++ b/crates/gateway/tests/feed.rs
@@ -2,11 +2,13 @@
 
 use std::cell::RefCell;
 use std::collections::VecDeque;
+use std::sync::Arc;
 use std::time::Duration;
 
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 use gateway::Knowledge;
+use gateway::Peers;
 use platform::Words;
 use services::Feed;
 use services::feed::Listing;
@@ -92,7 +94,7 @@
 
 /// Lets a gateway follow the script for so long and shows the endpoints that it knows then.
 async fn follow(
-    knowledge: &Knowledge,
+    knowledge: &Arc<Knowledge>,
     scans: Vec<Result<Listing, Error>>,
     changes: Vec<Result<Change, Error>>,
     time: Duration,
@@ -107,7 +109,8 @@
         sleep(time).await;
         cancel.cancel();
     };
-    tokio::join!(gateway::follow(knowledge, &Words, &script, cancel.clone()), end);
+    let peers = Peers::new(Arc::clone(knowledge), Vec::new());
+    tokio::join!(gateway::follow(&Words, &script, &peers, cancel.clone()), end);
     let shown = |endpoint: &route::Endpoint| format!("{} {:?}", endpoint.id, endpoint.state);
     knowledge.endpoints().iter().map(|endpoint| shown(endpoint)).collect()
 }
@@ -122,7 +125,7 @@
         changed(vec![announced("c", "ready")], &[]),
         changed(vec![announced("b", "draining")], &["a"]),
     ];
-    let known = follow(&Knowledge::default(), scans, changes, SOON).await;
+    let known = follow(&Arc::default(), scans, changes, SOON).await;
     assert_eq!(known, ["b Leaving", "c Ready"]);
 }
 
@@ -130,20 +133,20 @@
 async fn what_cannot_be_read_names_no_endpoint() {
     let scans = vec![all(vec![announced("a", "ready"), entry("servers/b", "\u{1}garbage")])];
     let changes = vec![changed(vec![entry("servers/a", "{}"), announced("c", "ready")], &[])];
-    let known = follow(&Knowledge::default(), scans, changes, SOON).await;
+    let known = follow(&Arc::default(), scans, changes, SOON).await;
     assert_eq!(known, ["c Ready"]);
 }
 
 #[tokio::test]
 async fn after_lost_history_all_is_read_again() {
     let scans = vec![all(vec![announced("a", "ready")]), all(vec![announced("b", "ready")])];
-    let known = follow(&Knowledge::default(), scans, vec![Err(Error::Compacted)], SOON).await;
+    let known = follow(&Arc::default(), scans, vec![Err(Error::Compacted)], SOON).await;
     assert_eq!(known, ["b Ready"]);
 }
 
 #[tokio::test]
 async fn endpoints_that_lapsed_with_the_store_have_time_to_return() {
-    let knowledge = Knowledge::default();
+    let knowledge = Arc::<Knowledge>::default();
     let scans = vec![
         all(vec![announced("a", "ready"), announced("b", "ready")]),
         all(vec![announced("c", "ready")]),
@@ -163,7 +166,7 @@
 async fn a_store_that_fails_takes_nothing_away() {
     let scans = vec![all(vec![announced("a", "ready")])];
     let changes = vec![Err(down()), Err(Error::Limited), Err(down())];
-    let known = follow(&Knowledge::default(), scans, changes, SOON).await;
+    let known = follow(&Arc::default(), scans, changes, SOON).await;
     assert_eq!(known, ["a Ready"]);
 }
 
@@ -174,13 +177,14 @@
         changes: RefCell::default(),
         tables: RefCell::new(vec![3, 7, 5].into()),
     };
-    let knowledge = Knowledge::default();
+    let knowledge = Arc::<Knowledge>::default();
     let cancel = CancellationToken::new();
     let end = async {
         sleep(SOON).await;
         cancel.cancel();
     };
-    tokio::join!(gateway::follow(&knowledge, &Words, &script, cancel.clone()), end);
+    let peers = Peers::new(Arc::clone(&knowledge), Vec::new());
+    tokio::join!(gateway::follow(&Words, &script, &peers, cancel.clone()), end);
     assert_eq!(knowledge.table().version(), 7);
 }
 
@@ -188,6 +192,6 @@
 async fn after_a_broken_watch_all_is_read_at_once_and_no_other_watch_is_waited_for() {
     let scans = vec![all(vec![announced("a", "ready")]), all(vec![announced("b", "ready")])];
     // A second watch would hear nothing.
-    let known = follow(&Knowledge::default(), scans, vec![Err(down())], SOON).await;
+    let known = follow(&Arc::default(), scans, vec![Err(down())], SOON).await;
     assert_eq!(known, ["a Ready", "b Ready"]);
 }
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -18,6 +18,7 @@
 mod pool;
 mod server;
 pub mod status;
+pub mod view;
 
 pub use difference::Difference;
 pub use error::Error;
--- a/crates/rpc/src/limit.rs
+++ b/crates/rpc/src/limit.rs
@@ -35,6 +35,9 @@
 /// that it may name.
 pub(crate) const MEMBERS: usize = 512;
 
+/// Prefixes that a caller may ask for at once; a gateway follows two.
+pub(crate) const PREFIXES: usize = 8;
+
 /// Bytes that the name of a VM may have.
 const NAME_BYTES: usize = 253;
 
@@ -82,6 +85,6 @@
     Ok(())
 }
 
-fn invalid(message: &str) -> ErrorObjectOwned {
+pub(crate) fn invalid(message: &str) -> ErrorObjectOwned {
     ErrorObjectOwned::owned(INVALID_PARAMS_CODE, message, None::<()>)
 }
--- a/crates/rpc/src/pool.rs
+++ b/crates/rpc/src/pool.rs
@@ -182,28 +182,39 @@
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<WsClient, Error> {
-        let builder = WsClientBuilder::default()
-            .max_request_size(limit::CALL_BYTES)
-            .max_response_size(limit::ANSWER_BYTES)
-            .connection_timeout(limit::CONNECT_TIMEOUT)
-            .request_timeout(limit::CALL_TIMEOUT)
-            .max_redirections(1)
-            .set_headers(self.key.headers());
+        let builder = builder().set_headers(self.key.headers());
         let client = builder.build(format!("ws://{address}")).await;
         client.map_err(|error| Error::Unreachable(address, error.to_string()))
     }
 
     /// A call that was answered leaves its connection open; any other closes it.
     fn failed(&self, address: SocketAddr, error: ClientError) -> Error {
-        if let ClientError::Call(refusal) = error {
-            return Error::Refused(address, refusal.message().to_owned());
+        if !matches!(error, ClientError::Call(_)) {
+            self.peers.lock().retain(|peer| peer.address != address);
         }
-        self.peers.lock().retain(|peer| peer.address != address);
-        Error::Unreachable(address, error.to_string())
+        self::error(address, error)
     }
 }
 
-fn read<T: DeserializeOwned>(address: SocketAddr, answer: &str) -> Result<T, Error> {
+/// A client with the limits of calls between processes.
+pub(crate) fn builder() -> WsClientBuilder {
+    WsClientBuilder::default()
+        .max_request_size(limit::CALL_BYTES)
+        .max_response_size(limit::ANSWER_BYTES)
+        .connection_timeout(limit::CONNECT_TIMEOUT)
+        .request_timeout(limit::CALL_TIMEOUT)
+        .max_redirections(1)
+}
+
+/// Tells a refusal from a peer that can't be reached.
+pub(crate) fn error(address: SocketAddr, error: ClientError) -> Error {
+    match error {
+        ClientError::Call(refusal) => Error::Refused(address, refusal.message().to_owned()),
+        error => Error::Unreachable(address, error.to_string()),
+    }
+}
+
+pub(crate) fn read<T: DeserializeOwned>(address: SocketAddr, answer: &str) -> Result<T, Error> {
     let malformed = || Error::Refused(address, "its answer can't be read".to_owned());
     packet::decode(answer).ok_or_else(malformed)
 }
--- a/crates/rpc/src/server.rs
+++ b/crates/rpc/src/server.rs
@@ -11,6 +11,7 @@
 use tokio::time;
 use tokio_util::sync::CancellationToken;
 use tower::ServiceBuilder;
+use tower::layer::util::Identity;
 
 use crate::Error;
 use crate::Handler;
@@ -63,6 +64,14 @@
     Ok(())
 }
 
+/// A server on an address of its own, for calls that need no key.
+pub(crate) fn open(listen: SocketAddr) -> Result<Server<Identity, Identity>, Error> {
+    let listener = TcpListener::bind(listen).map_err(|error| failed(listen, &error))?;
+    listener.set_nonblocking(true).map_err(|error| failed(listen, &error))?;
+    let server = Server::builder().set_config(config()).build_from_tcp(listener);
+    server.map_err(|error| failed(listen, &error))
+}
+
 fn config() -> ServerConfig {
     ServerConfig::builder()
         .ws_only()
--- a/crates/services/src/feed.rs
+++ b/crates/services/src/feed.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use futures_util::future::LocalBoxFuture;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::store::Change;
 use crate::store::Entry;
@@ -35,7 +37,7 @@
 }
 
 /// All keys under a prefix.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Listing {
     /// The keys, sorted.
     pub entries: Vec<Entry>,
--- a/crates/services/src/store.rs
+++ b/crates/services/src/store.rs
@@ -6,6 +6,8 @@
 use displaydoc::Display;
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
+use serde::Deserialize;
+use serde::Serialize;
 
 /// A key-value service with compare-and-swap, leases and watches.
 ///
@@ -87,7 +89,7 @@
 pub type Lease = i64;
 
 /// A key with its value.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
     /// The key.
     pub key: String,
--- a/crates/settings/src/file.rs
+++ b/crates/settings/src/file.rs
@@ -19,7 +19,7 @@
     /// An entry or an agent.
     Fleet(Box<Settings>),
     /// A gateway.
-    Gateway(Gateway),
+    Gateway(Box<Gateway>),
 }
 
 /// The role whose settings have a form of their own.
@@ -51,6 +51,6 @@
         }
         let mut faults: Vec<Fault> = errors.iter().map(|error| syntax(text, error)).collect();
         let gateway = Gateway::read(&root, &mut faults).filter(|_| faults.is_empty());
-        gateway.map(File::Gateway).ok_or_else(|| Error::Invalid(Report::new(faults)))
+        gateway.map(Box::new).map(File::Gateway).ok_or_else(|| Error::Invalid(Report::new(faults)))
     }
 }
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -19,6 +19,10 @@
     pub clients: SocketAddr,
     /// `/metrics`, `/healthz` and `/readyz`.
     pub admin: SocketAddr,
+    /// Calls of other gateways.
+    pub control: SocketAddr,
+    /// Where other gateways take calls; some may be gone.
+    pub seeds: Vec<SocketAddr>,
     /// The key-value service, which holds what must last.
     pub store: SocketAddr,
     /// Connections that are open at once.
@@ -47,9 +51,16 @@
         listen.check_keys(&[key::GATEWAY_LISTEN], faults);
         let clients = listen.socket("clients", faults);
         let admin = listen.socket("admin", faults);
+        let control = listen.socket("control", faults);
         if clients.is_some() && clients == admin {
             listen.push("admin", Kind::Taken, faults);
         }
+        if control.is_some() && (control == admin || control == clients) {
+            listen.push("control", Kind::Taken, faults);
+        }
+        let peer = root.child("peer", faults);
+        peer.check_keys(&[key::GATEWAY_PEER], faults);
+        let seeds = seeds(&peer, faults);
         let platform = root.child("platform", faults);
         platform.check_keys(&[key::GATEWAY_PLATFORM], faults);
         let store = platform.socket("store", faults);
@@ -68,6 +79,8 @@
             centre: centre?,
             clients: clients?,
             admin: admin?,
+            control: control?,
+            seeds,
             store: store?,
             connections: usize::try_from(descriptors? / CLIENT_PART).ok()?,
             retry_ratio: ratio?,
@@ -78,3 +91,15 @@
         })
     }
 }
+
+fn seeds(peer: &Section<'_>, faults: &mut Vec<Fault>) -> Vec<SocketAddr> {
+    let texts = peer.strings("seeds", "a list of addresses in quotes", faults);
+    let mut seeds = Vec::new();
+    for text in texts {
+        match text.parse() {
+            Ok(seed) => seeds.push(seed),
+            Err(_) => peer.push("seeds", Kind::Socket, faults),
+        }
+    }
+    seeds
+}
--- a/crates/settings/src/key.rs
+++ b/crates/settings/src/key.rs
@@ -35,10 +35,13 @@
 pub const GATEWAY_ROOT: &[&str] = &["role", "vm", "centre"];
 
 /// Names of a gateway's sections.
-pub const GATEWAY_SECTIONS: &[&str] = &["listen", "platform", "limit", "retry"];
+pub const GATEWAY_SECTIONS: &[&str] = &["listen", "peer", "platform", "limit", "retry"];
 
 /// Keys of a gateway's `[listen]`.
-pub const GATEWAY_LISTEN: &[&str] = &["clients", "admin"];
+pub const GATEWAY_LISTEN: &[&str] = &["clients", "admin", "control"];
+
+/// Keys of a gateway's `[peer]`.
+pub const GATEWAY_PEER: &[&str] = &["seeds"];
 
 /// Keys of a gateway's `[platform]`.
 pub const GATEWAY_PLATFORM: &[&str] = &["store"];
--- a/crates/settings/tests/gateway.rs
+++ b/crates/settings/tests/gateway.rs
@@ -11,6 +11,9 @@
 [listen]
 clients = "10.0.1.7:7001"
 admin = "10.0.1.7:7003"
+control = "10.0.1.7:7002"
+[peer]
+seeds = ["10.0.1.7:7002", "10.0.3.7:7002"]
 [platform]
 store = "10.0.0.5:2379"
 [limit]
@@ -42,6 +45,11 @@
             centre: "s1",
             clients: 10.0.1.7:7001,
             admin: 10.0.1.7:7003,
+            control: 10.0.1.7:7002,
+            seeds: [
+                10.0.1.7:7002,
+                10.0.3.7:7002,
+            ],
             store: 10.0.0.5:2379,
             connections: 2050,
             retry_ratio: 0.2,
@@ -65,14 +73,14 @@
     check(
         &text,
         expect![[r#"
-        the settings have faults; mend these lines:
-          line 6, `listen.admin`: is already taken by another listener; choose a port of its own
-          line 8, `platform.store`: is not a socket address; write an IP number and a port, as in "10.0.0.7:7001"
-          line 9, `limit.descriptors`: is missing; add a whole number
-          line 10, `limit.descriptor`: is not known; remove it or use one of: descriptors, stop_notice_ms, stop_grace_ms
-          line 14, `retry.ratio`: has the wrong type; write a number, as in 0.2
-          line 16, `retry.processes`: is out of range; use a whole number from 1 to 100000
-    "#]],
+            the settings have faults; mend these lines:
+              line 6, `listen.admin`: is already taken by another listener; choose a port of its own
+              line 11, `platform.store`: is not a socket address; write an IP number and a port, as in "10.0.0.7:7001"
+              line 12, `limit.descriptors`: is missing; add a whole number
+              line 13, `limit.descriptor`: is not known; remove it or use one of: descriptors, stop_notice_ms, stop_grace_ms
+              line 17, `retry.ratio`: has the wrong type; write a number, as in 0.2
+              line 19, `retry.processes`: is out of range; use a whole number from 1 to 100000
+        "#]],
     );
 }
 
@@ -81,20 +89,21 @@
     check(
         "role = \"gateway\"\nvm = \n",
         expect![[r#"
-        the settings have faults; mend these lines:
-          line 1, `centre`: is missing; add a name in quotes
-          line 1, `listen.clients`: is missing; add an address, as in "10.0.0.7:7001"
-          line 1, `listen.admin`: is missing; add an address, as in "10.0.0.7:7001"
-          line 1, `platform.store`: is missing; add an address, as in "10.0.0.7:7001"
-          line 1, `limit.descriptors`: is missing; add a whole number
-          line 1, `limit.stop_notice_ms`: is missing; add a whole number
-          line 1, `limit.stop_grace_ms`: is missing; add a whole number
-          line 1, `retry.ratio`: is missing; add a number, as in 0.2
-          line 1, `retry.slack`: is missing; add a number, as in 0.2
-          line 1, `retry.processes`: is missing; add a whole number
-          line 2, `file`: is not valid TOML (string values must be quoted, expected literal string); mend this line
-          line 2, `vm`: is not an identifier; use 1 to 64 ASCII letters, digits, `-`, `_` or `.`
-    "#]],
+            the settings have faults; mend these lines:
+              line 1, `centre`: is missing; add a name in quotes
+              line 1, `listen.clients`: is missing; add an address, as in "10.0.0.7:7001"
+              line 1, `listen.admin`: is missing; add an address, as in "10.0.0.7:7001"
+              line 1, `listen.control`: is missing; add an address, as in "10.0.0.7:7001"
+              line 1, `platform.store`: is missing; add an address, as in "10.0.0.7:7001"
+              line 1, `limit.descriptors`: is missing; add a whole number
+              line 1, `limit.stop_notice_ms`: is missing; add a whole number
+              line 1, `limit.stop_grace_ms`: is missing; add a whole number
+              line 1, `retry.ratio`: is missing; add a number, as in 0.2
+              line 1, `retry.slack`: is missing; add a number, as in 0.2
+              line 1, `retry.processes`: is missing; add a whole number
+              line 2, `file`: is not valid TOML (string values must be quoted, expected literal string); mend this line
+              line 2, `vm`: is not an identifier; use 1 to 64 ASCII letters, digits, `-`, `_` or `.`
+        "#]],
     );
 }
 
