Let connections wait for a starting gateway's first read

Ruled out: endpoints missing after the restart, the retry budget (log lines: version 0). Change: the server takes connections once configuration and endpoints are known, or after 0.5 s. Test: sessions a_request_that_comes_before_the_first_read_is_answered_after_it.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -46,6 +46,13 @@
 /// How long the server may take to stop once no answer is under way.
 const SHUTDOWN_TIME: Seconds = Seconds(1);
 
+/// How long a process that starts leaves new connections waiting for its first read
+/// of the store. Clients give a connection a second; a read takes some milliseconds.
+const FIRST_READ_TIME: Duration = Duration::from_millis(500);
+
+/// How often it is looked at whether the first read has ended.
+const FIRST_READ_INTERVAL: Duration = Duration::from_millis(5);
+
 /// How often idle connections of clients and to endpoints are looked through.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -61,6 +68,7 @@
     let connections = context.connections;
     let (stop, notice, grace) = (context.stop.clone(), context.stop_notice, context.stop_grace);
     let answers = context.answers.clone();
+    wait_for_first_read(&context).await;
     let http = HttpServiceConfig::new().set_keepalive(KEEP_ALIVE).set_headers_read_rate(
         HEADER_TIME,
         HEADER_TIME,
@@ -94,6 +102,19 @@
     }
 }
 
+/// Connections wait until the process knows what to do with them, as it does a moment
+/// after its start, rather than being refused. A store that is away ends the wait.
+async fn wait_for_first_read(context: &Context) {
+    let known = async {
+        while !context.knowledge.is_complete() && !context.stop.is_cancelled() {
+            sleep(FIRST_READ_INTERVAL).await;
+        }
+    };
+    if timeout(FIRST_READ_TIME, known).await.is_err() {
+        log::info!("the first read takes over {FIRST_READ_TIME:?}; clients are told to come back");
+    }
+}
+
 async fn sweep(worker: Rc<Worker>) {
     loop {
         sleep(SWEEP_INTERVAL).await;
--- a/crates/gateway/tests/sessions/requests.rs
+++ b/crates/gateway/tests/sessions/requests.rs
@@ -87,6 +87,27 @@
     );
 }
 
+#[test]
+fn a_request_that_comes_before_the_first_read_is_answered_after_it() {
+    let endpoint = Endpoint::start("e1", vec![whole("200 OK", "found")]);
+    let scene = Scene::unconfigured();
+    let mut client = Client::connect(scene.address);
+    client.send(&format!("GET /look/1 HTTP/1.1\r\n{HEAD}\r\n"));
+    thread::sleep(Duration::from_millis(100));
+    scene.learn("plain", &[&endpoint]);
+    check(
+        &client.read(),
+        expect![[r#"
+            HTTP/1.1 200 OK
+            content-length: 5
+            x-request-id: r1
+            x-server-stamp: s
+
+            found
+        "#]],
+    );
+}
+
 #[test]
 fn without_a_configuration_clients_are_told_to_come_back() {
     let scene = Scene::unconfigured();
--- a/crates/gateway/tests/sessions/support/scene.rs
+++ b/crates/gateway/tests/sessions/support/scene.rs
@@ -41,11 +41,16 @@
     /// A gateway that knows the configuration and these endpoints of a service.
     pub fn new(service: &str, endpoints: &[&Endpoint]) -> Scene {
         let scene = Scene::unconfigured();
+        scene.learn(service, endpoints);
+        scene
+    }
+
+    /// The gateway learns the configuration and these endpoints of a service.
+    pub fn learn(&self, service: &str, endpoints: &[&Endpoint]) {
         let table = Words.table(CONFIGURATION.as_bytes()).expect("a configuration");
-        assert!(scene.knowledge.set_table(table));
+        assert!(self.knowledge.set_table(table));
         let told = endpoints.iter().map(|endpoint| announced(service, endpoint, "ready"));
-        scene.knowledge.set_endpoints(told.collect(), false);
-        scene
+        self.knowledge.set_endpoints(told.collect(), false);
     }
 
     /// The gateway learns that an endpoint takes no new work.
