Let a gateway that starts while the store is away learn from peers what they know

Peers told only what the store had told them within 5 s. Ruled out: the first read's time (the store answered busy throughout). Change: who knows nothing is told what a peer knows, current or not; such a process asks every 0.1 s, from its seeds on.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -41,6 +41,10 @@
 /// to be in force everywhere within a few seconds.
 const ASK_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The same for a process that knows nothing yet. The first read takes some 40 ms
+/// where the store answers.
+const FIRST_ASK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Follows configuration and endpoints until the token is cancelled.
 pub async fn follow(
     dialect: &dyn Dialect,
@@ -59,9 +63,11 @@
             knowledge.forget_missing();
         }
     };
+    peers.mirror().expect(&[table.prefix, endpoints.prefix]);
     let relay = async {
         loop {
-            sleep(ASK_INTERVAL).await;
+            let is_known = knowledge.is_complete();
+            sleep(if is_known { ASK_INTERVAL } else { FIRST_ASK_INTERVAL }).await;
             let missed = peers.mirror().missed();
             let copies = if missed.is_empty() { Vec::new() } else { peer::ask(peers).await };
             for copy in copies {
--- a/crates/gateway/src/peer/asking.rs
+++ b/crates/gateway/src/peer/asking.rs
@@ -19,11 +19,13 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// What some peer knows beyond what is known here, under the prefixes whose changes
-/// are missed; nothing where no peer that was asked hears from the store.
+/// are missed: one that hears from the store if there is one, else the one that tells
+/// most to a process that knows nothing.
 pub(crate) async fn ask(peers: &Peers) -> Vec<Copy> {
     let mut addresses = peers.addresses();
     addresses.shuffle(&mut rand::rng());
     let mut asked: Vec<SocketAddr> = Vec::new();
+    let mut latest: Vec<Copy> = Vec::new();
     while let Some(address) = addresses.pop() {
         if asked.contains(&address) {
             continue;
@@ -37,9 +39,16 @@
             return tell.copies;
         }
         addresses.extend(tell.peers);
+        if version(&tell.copies) > version(&latest) {
+            latest = tell.copies;
+        }
     }
-    log::info!(asked:? = asked; "no peer hears from the store");
-    Vec::new()
+    log::info!(asked:? = asked, copies = latest.len(); "no peer hears from the store");
+    latest
+}
+
+fn version(copies: &[Copy]) -> u64 {
+    copies.iter().map(|copy| copy.listing.version).max().unwrap_or_default()
 }
 
 async fn ask_one(peers: &Peers, address: SocketAddr) -> Option<Tell> {
--- a/crates/gateway/src/peer/mirror.rs
+++ b/crates/gateway/src/peer/mirror.rs
@@ -29,6 +29,13 @@
 }
 
 impl Mirror {
+    /// Names prefixes that are to be read.
+    pub fn expect(&mut self, prefixes: &[&str]) {
+        for prefix in prefixes {
+            self.topic(prefix);
+        }
+    }
+
     /// Takes in all keys under a prefix as the store gave them.
     pub fn read(&mut self, prefix: &str, listing: Listing, now: Duration) {
         let topic = self.topic(prefix);
@@ -61,7 +68,7 @@
     /// Takes in what a peer knows; says whether it was missed here.
     pub fn adopt(&mut self, copy: &Copy) -> bool {
         let topic = self.topic(&copy.prefix);
-        let is_missed = topic.is_lost && copy.listing.version > topic.listing.version;
+        let is_missed = topic.is_missed() && copy.listing.version > topic.listing.version;
         if is_missed {
             topic.listing = copy.listing.clone();
         }
@@ -76,10 +83,10 @@
 
     /// The prefixes under which changes are missed, with what is known there.
     pub fn missed(&self) -> Vec<Known> {
-        let lost = self.topics.iter().filter(|topic| topic.is_lost);
+        let missed = self.topics.iter().filter(|topic| topic.is_missed());
         let known =
             |topic: &Topic| Known { prefix: topic.prefix.clone(), version: topic.listing.version };
-        lost.map(known).collect()
+        missed.map(known).collect()
     }
 
     /// Whether all changes are heard of.
@@ -89,11 +96,14 @@
         !self.topics.is_empty() && self.topics.iter().all(is_current)
     }
 
-    /// What is known beyond what a peer knows.
-    pub fn beyond(&self, known: &[Known]) -> Vec<Copy> {
+    /// What is known beyond what a peer knows. Where changes aren't heard of, that is
+    /// for peers that know nothing: they serve better with it than not at all.
+    pub fn beyond(&self, known: &[Known], now: Duration) -> Vec<Copy> {
+        let is_current = self.is_current(now);
         let beyond = |known: &Known| {
             let topic = self.topics.iter().find(|topic| topic.prefix == known.prefix)?;
-            let is_newer = topic.listing.version > known.version;
+            let is_told = is_current || known.version == 0;
+            let is_newer = is_told && topic.listing.version > known.version;
             let copy = || Copy { prefix: known.prefix.clone(), listing: topic.listing.clone() };
             is_newer.then(copy)
         };
@@ -110,3 +120,10 @@
         &mut self.topics[index]
     }
 }
+
+impl Topic {
+    /// Whether the store doesn't tell of its changes, or didn't yet.
+    fn is_missed(&self) -> bool {
+        self.is_lost || self.heard.is_none()
+    }
+}
--- a/crates/gateway/src/peer/peers.rs
+++ b/crates/gateway/src/peer/peers.rs
@@ -62,10 +62,8 @@
     fn beyond(&self, known: &[Known]) -> Tell {
         let mut peers = self.addresses();
         peers.truncate(NAMED);
+        let now = self.knowledge.now();
         let mirror = self.mirror.lock();
-        if !mirror.is_current(self.knowledge.now()) {
-            return Tell { peers, ..Tell::default() };
-        }
-        Tell { is_current: true, copies: mirror.beyond(known), peers }
+        Tell { is_current: mirror.is_current(now), copies: mirror.beyond(known, now), peers }
     }
 }
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -132,6 +132,37 @@
     assert_eq!(served, Ok(()));
 }
 
+/// Nobody hears from the store, but some know what it told before.
+#[tokio::test]
+async fn a_gateway_that_starts_while_the_store_is_away_learns_what_the_others_know() {
+    let address = free_address();
+    let (served, away) = (Store::at(Some(3)), Store::at(None));
+    let told = Arc::new(Peers::new(Arc::default(), Vec::new()));
+    let knowledge = Arc::<Knowledge>::default();
+    let starts = Peers::new(Arc::clone(&knowledge), vec![address]);
+    let cancel = CancellationToken::new();
+    let story = async {
+        sleep(Duration::from_millis(200)).await;
+        *served.version.borrow_mut() = None;
+        sleep(Duration::from_secs(6)).await;
+        let follow = gateway::follow(&Words, &away, &starts, cancel.clone());
+        let end = async {
+            let start = Instant::now();
+            until(&knowledge, "3 e3").await;
+            assert!(start.elapsed() < Duration::from_secs(1), "it takes {:?}", start.elapsed());
+            cancel.cancel();
+        };
+        tokio::join!(follow, end);
+    };
+    let source = Arc::clone(&told);
+    let (served, (), ()) = tokio::join!(
+        rpc::view::serve(address, source, cancel.clone()),
+        gateway::follow(&Words, &served, &told, cancel.clone()),
+        story,
+    );
+    assert_eq!(served, Ok(()));
+}
+
 const NOW: Duration = Duration::from_secs(100);
 
 fn listing(keys: &[&str], version: u64) -> Listing {
@@ -153,14 +184,18 @@
     let change = Change { version: 8, entries: vec![entry], removed: vec!["a/1".to_owned()] };
     mirror.changed("a/", &change, NOW + Duration::from_secs(4));
     let known = |version| Known { prefix: "a/".to_owned(), version };
-    let told = mirror.beyond(&[known(7)]);
+    let now = NOW + Duration::from_secs(5);
+    let told = mirror.beyond(&[known(7)], now);
     expect![[r#"
         "a/" ["a/2", "a/3"] 8
     "#]]
     .assert_eq(&told.iter().map(show).collect::<String>());
-    assert_eq!(mirror.beyond(&[known(8)]), []);
-    assert!(mirror.is_current(NOW + Duration::from_secs(5)));
-    assert!(!mirror.is_current(NOW + Duration::from_secs(6)), "b/ was not heard of for 6 s");
+    assert_eq!(mirror.beyond(&[known(8)], now), []);
+    assert!(mirror.is_current(now));
+    let late = NOW + Duration::from_secs(6);
+    assert!(!mirror.is_current(late), "b/ was not heard of for 6 s");
+    assert_eq!(mirror.beyond(&[known(7)], late), []);
+    assert_eq!(mirror.beyond(&[known(0)], late).len(), 1, "the caller knows nothing");
 }
 
 #[test]
