Share the retry slack among all gateways that are registered

Ruled out: the ratio part, which each process earns by its own requests. Change: the slack is shared among the registered gateways, but at least the setting's number, which counts the spare VMs of small deployments. Tests: policy share, more_processes_leave_less_to_each_at_once.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -24,7 +24,7 @@
     pub retry_ratio: f64,
     /// Retries that the fleet may send besides.
     pub retry_slack: f64,
-    /// Processes that share the retries.
+    /// Processes that share the retries, if no more are registered.
     pub processes: u32,
     /// How long the process stays reachable after a stop is asked for, so that
     /// balancers notice that it is not ready.
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -3,6 +3,8 @@
 //! Lock order: `table`, then `fleet`. No lock is held across an await.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -22,11 +24,18 @@
     start: Instant,
     table: RwLock<Arc<Table>>,
     fleet: Mutex<Fleet>,
+    /// Gateways that are registered, this one too; 0 where none are known yet.
+    gateways: AtomicU32,
 }
 
 impl Default for Knowledge {
     fn default() -> Knowledge {
-        Knowledge { start: Instant::now(), table: RwLock::default(), fleet: Mutex::default() }
+        Knowledge {
+            start: Instant::now(),
+            table: RwLock::default(),
+            fleet: Mutex::default(),
+            gateways: AtomicU32::default(),
+        }
     }
 }
 
@@ -46,6 +55,16 @@
         self.table().version() > 0 && self.fleet.lock().is_known()
     }
 
+    /// Gateways that are registered, this one too; 0 where none are known yet.
+    pub fn gateways(&self) -> u32 {
+        self.gateways.load(Ordering::Relaxed)
+    }
+
+    /// Takes in how many gateways are registered.
+    pub fn set_gateways(&self, gateways: u32) {
+        self.gateways.store(gateways, Ordering::Relaxed);
+    }
+
     /// Takes in a configuration unless a newer one is in force; says whether it did.
     pub fn set_table(&self, table: Table) -> bool {
         let mut current = self.table.write();
--- a/crates/gateway/src/peer/peers.rs
+++ b/crates/gateway/src/peer/peers.rs
@@ -22,7 +22,7 @@
 pub struct Peers {
     /// Where peers were when the fleet was set up; some may be gone.
     seeds: Vec<SocketAddr>,
-    /// Gateways that the store lists, this one too.
+    /// Other gateways that the store lists.
     registered: Mutex<Vec<SocketAddr>>,
     mirror: Mutex<Mirror>,
     knowledge: Arc<Knowledge>,
@@ -36,6 +36,8 @@
 
     /// Takes in where the gateways of the fleet are.
     pub fn set_registered(&self, registered: Vec<SocketAddr>) {
+        let others = u32::try_from(registered.len()).unwrap_or(u32::MAX);
+        self.knowledge.set_gateways(others.saturating_add(1));
         *self.registered.lock() = registered;
     }
 
--- a/crates/gateway/src/worker.rs
+++ b/crates/gateway/src/worker.rs
@@ -58,16 +58,19 @@
     }
 
     fn with_share<T>(&self, service: &Arc<str>, change: impl FnOnce(&mut Share) -> T) -> T {
+        let context = &self.context;
+        let processes = context.knowledge.gateways().max(context.processes);
         let mut retries = self.retries.lock();
         let index = match retries.binary_search_by(|(name, _)| name.cmp(service)) {
             Ok(index) => index,
             Err(index) => {
-                let context = &self.context;
-                let share = Share::new(context.retry_ratio, context.retry_slack, context.processes);
+                let share = Share::new(context.retry_ratio, context.retry_slack, processes);
                 retries.insert(index, (Arc::clone(service), share));
                 index
             }
         };
-        change(&mut retries[index].1)
+        let share = &mut retries[index].1;
+        share.share_among(context.retry_slack, processes);
+        change(share)
     }
 }
--- a/crates/policy/src/retry/share.rs
+++ b/crates/policy/src/retry/share.rs
@@ -20,7 +20,13 @@
     /// Takes the fleet's ratio of retries to requests, its slack in retries, and
     /// the number of processes that share them.
     pub fn new(ratio: f64, slack: f64, processes: u32) -> Share {
-        Share { ratio: ratio * SAFETY, most: slack / f64::from(processes.max(1)), saved: 0.0 }
+        Share { ratio: ratio * SAFETY, most: part(slack, processes), saved: 0.0 }
+    }
+
+    /// Shares the slack among another number of processes from now on.
+    pub fn share_among(&mut self, slack: f64, processes: u32) {
+        self.most = part(slack, processes);
+        self.saved = self.saved.min(self.most);
     }
 
     /// Counts a first attempt, which earns a part of a retry.
@@ -37,3 +43,7 @@
         true
     }
 }
+
+fn part(slack: f64, processes: u32) -> f64 {
+    slack / f64::from(processes.max(1))
+}
--- a/crates/policy/tests/share.rs
+++ b/crates/policy/tests/share.rs
@@ -67,3 +67,12 @@
     let spent = (0..100).filter(|_| share.spend()).count();
     assert_eq!(spent, (SLACK / f64::from(PROCESSES)) as usize);
 }
+
+#[test]
+fn more_processes_leave_less_to_each_at_once() {
+    let mut share = share();
+    (0..10_000).for_each(|_| share.earn());
+    share.share_among(SLACK, 2 * PROCESSES);
+    let spent = (0..100).filter(|_| share.spend()).count();
+    assert_eq!(spent, (SLACK / f64::from(2 * PROCESSES)) as usize);
+}
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -31,7 +31,7 @@
     pub retry_ratio: f64,
     /// Retries that the fleet may send besides.
     pub retry_slack: f64,
-    /// Processes that share the retries.
+    /// Processes that share the retries, if no more are registered.
     pub processes: u32,
     /// How long the process stays reachable after a stop is asked for.
     pub stop_notice: Duration,
