End a stopped gateway soon after its last answer

Cause: ntex-server may list a worker twice and then waits for it until its own time-out, 1 s, and the admin server likewise. Ruled out: answers in flight (is_done=true in the soak's log).

--- a/crates/fleet/tests/soak/main.rs
+++ b/crates/fleet/tests/soak/main.rs
@@ -22,7 +22,10 @@
 const SHORT: Range<u64> = 0..4;
 
 /// Seeds that broke a promise once.
-const REGRESSIONS: [u64; 0] = [];
+///
+/// - 4: a stopping gateway waited up to 1.7 s for its server's own stop; connections
+///   that came meanwhile were taken by nobody and reset at its end.
+const REGRESSIONS: [u64; 1] = [4];
 
 /// Names seeds to play in place of the short ones, as in `1..51`.
 const VARIABLE: &str = "SOAK_SEEDS";
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -53,6 +53,11 @@
 /// How often it is looked at whether the first read has ended.
 const FIRST_READ_INTERVAL: Duration = Duration::from_millis(5);
 
+/// How long the stop of the server itself is waited for, so that the last answers are
+/// written. It may wait for a worker that it lists twice until its own, longer time is
+/// over, and connections that come meanwhile are taken by nobody.
+const STOP_TIME: Duration = Duration::from_millis(150);
+
 /// How often idle connections of clients and to endpoints are looked through.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -97,7 +102,9 @@
             // waits for those that it has broken off.
             let is_done = timeout(grace, answers.wait()).await.is_ok();
             log::info!(is_done, left = answers.len(); "all answers are given, or their time is over");
-            server.stop(is_done).await;
+            if timeout(STOP_TIME, server.stop(is_done)).await.is_err() {
+                log::warn!("the server did not stop in time and ends with the process");
+            }
             Ok(())
         }
     }
--- a/crates/telemetry/src/admin.rs
+++ b/crates/telemetry/src/admin.rs
@@ -16,7 +16,8 @@
 const METRICS_TYPE: &str = "text/plain; version=0.0.4; charset=utf-8";
 
 /// A process that ends waits so long for the admin server, which has no work to lose.
-const STOP_TIME: Duration = Duration::from_secs(1);
+/// Its own stop takes some milliseconds, unless it waits for what does not come.
+const STOP_TIME: Duration = Duration::from_millis(50);
 
 /// What the handlers show.
 #[derive(Clone, Debug)]
