Read the body of a request before it is refused

The gateway did the same with unknown routes, unknown keys and an unknown configuration. Ruled out: kept connections (one each failed as well) and the limit of the control server (the failing line is the message to the data address). Change: both read the body first, up to 16 and 64 KB and half a second. Test: sessions a_refusal_leaves_the_connection_usable_also_if_the_body_comes_late.

--- a/crates/agent/src/handler.rs
+++ b/crates/agent/src/handler.rs
@@ -18,6 +18,9 @@
 use crate::worker::Worker;
 use crate::writer::Writer;
 
+/// The longest body that is read of a caller without the fleet's key.
+const KEYLESS_BYTES: usize = 16 * 1024;
+
 /// An entry that takes no frame for this long is taken to be gone.
 const READ_STALL: Duration = Duration::from_secs(10);
 
@@ -86,10 +89,9 @@
     worker: &Worker,
 ) -> Result<Vec<u8>, Problem> {
     let shown = request.headers().get(key::HEADER).map(|header| header.as_bytes());
-    if !worker.key.is_shown(shown) {
-        return Err(keyless());
-    }
-    let limit = worker.body_bytes;
+    let is_keyless = !worker.key.is_shown(shown);
+    // The server closes a connection whose body was not read, so that a refusal is lost.
+    let limit = if is_keyless { KEYLESS_BYTES } else { worker.body_bytes };
     let mut bytes = Vec::new();
     while let Some(chunk) = payload.next().await {
         let chunk = chunk.map_err(|_| foreign("the body broke off: send it whole"))?;
@@ -98,7 +100,7 @@
         }
         bytes.extend_from_slice(&chunk);
     }
-    Ok(bytes)
+    if is_keyless { Err(keyless()) } else { Ok(bytes) }
 }
 
 fn foreign(detail: &str) -> Problem {
--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -1,5 +1,8 @@
 //! Taking in one request.
 
+use std::sync::Arc;
+use std::time::Duration;
+
 use bytes::Bytes;
 use bytes::BytesMut;
 use futures_util::StreamExt;
@@ -7,13 +10,22 @@
 use http::header::HOST;
 use ntex::web::HttpRequest;
 use ntex::web::types::Payload;
+use route::Account;
 use route::Ask;
+use route::Rule;
 use route::Table;
 use tokio::time::Instant;
+use tokio::time::timeout;
 
 use crate::refusal::Refusal;
 use crate::request::Request;
 
+/// The longest body that is read of a request that is refused.
+const REFUSED_BYTES: usize = 64 * 1024;
+
+/// How long the body of a request that is refused may take.
+const REFUSED_TIME: Duration = Duration::from_millis(500);
+
 /// Finds what a request is for and reads it whole.
 pub(crate) async fn whole(
     table: &Table,
@@ -23,15 +35,12 @@
     payload: Payload,
     start: Instant,
 ) -> Result<Request, Refusal> {
-    if table.version() == 0 {
-        return Err(Refusal::NoTable);
-    }
-    let host = host(&headers);
-    let rule = table.rule(&host, head.path()).ok_or(Refusal::NoRoute)?.clone();
-    let account = match (&ask.key, rule.is_public || !table.has_accounts()) {
-        (Some(key), _) if table.account(key).is_some() => table.account(key).cloned(),
-        (_, true) => None,
-        _ => return Err(Refusal::NoAccount),
+    let (rule, account) = match allowed(table, &host(&headers), head.path(), &ask) {
+        Ok(allowed) => allowed,
+        Err(refusal) => {
+            discard(payload).await;
+            return Err(refusal);
+        }
     };
     let patience = ask.patience.map_or(rule.timeout, |patience| patience.min(rule.timeout));
     let deadline = start + patience;
@@ -56,6 +65,34 @@
     })
 }
 
+/// The rule that a request goes by, and the client account that sends it.
+fn allowed(
+    table: &Table,
+    host: &str,
+    path: &str,
+    ask: &Ask,
+) -> Result<(Arc<Rule>, Option<Arc<Account>>), Refusal> {
+    if table.version() == 0 {
+        return Err(Refusal::NoTable);
+    }
+    let rule = table.rule(host, path).ok_or(Refusal::NoRoute)?.clone();
+    let account = match (&ask.key, rule.is_public || !table.has_accounts()) {
+        (Some(key), _) if table.account(key).is_some() => table.account(key).cloned(),
+        (_, true) => None,
+        _ => return Err(Refusal::NoAccount),
+    };
+    Ok((rule, account))
+}
+
+/// Reads what is left of a request that is refused. The server closes a connection
+/// whose body was not read, and the client might get a reset in place of the answer.
+async fn discard(payload: Payload) {
+    let read = timeout(REFUSED_TIME, read(payload, REFUSED_BYTES)).await;
+    if !matches!(read, Ok(Ok(_))) {
+        log::info!("the body of a refused request was not read to its end");
+    }
+}
+
 async fn read(mut payload: Payload, most: usize) -> Result<Bytes, Refusal> {
     let mut body = BytesMut::new();
     while let Some(chunk) = payload.next().await {
--- a/crates/gateway/tests/sessions/requests.rs
+++ b/crates/gateway/tests/sessions/requests.rs
@@ -251,3 +251,22 @@
     check(&client.read(), expect!["(closed)\n"]);
     assert!(start.elapsed() < Duration::from_millis(2_500), "{:?}", start.elapsed());
 }
+
+/// Closing a connection whose body is still under way would reset it, and the client
+/// might never see the refusal.
+#[test]
+fn a_refusal_leaves_the_connection_usable_also_if_the_body_comes_late() {
+    let endpoint = Endpoint::start("e1", vec![whole("200 OK", "found")]);
+    let scene = Scene::new("plain", &[&endpoint]);
+    let head = "Host: h.example\r\nX-Request-Id: r1\r\nContent-Length: 2\r\n";
+    for (path, key, status) in [("/look/", "k9", "401"), ("/nowhere/", "k1", "404")] {
+        let mut client = Client::connect(scene.address);
+        client.send(&format!("POST {path} HTTP/1.1\r\n{head}Authorization: Bearer {key}\r\n\r\n"));
+        thread::sleep(Duration::from_millis(100));
+        client.send("hi");
+        let refused = client.read();
+        assert!(refused.starts_with(&format!("HTTP/1.1 {status}")), "{refused}");
+        let next = client.ask(&format!("GET /look/1 HTTP/1.1\r\n{HEAD}\r\n"));
+        assert!(next.ends_with("found\n"), "{status}: {next}");
+    }
+}
