Hold the chats lost with a killed agent against what ran there

Trace: each of them is a plainly cut answer ('the connection to the agent broke') that had begun at the killed agent; no other engine can go on with its words.

--- a/crates/fleet/tests/sessions/scene.rs
+++ b/crates/fleet/tests/sessions/scene.rs
@@ -192,17 +192,24 @@
 
     pub async fn engines(&self) -> Vec<engine::Counts> {
         let mut all = Vec::new();
-        for endpoint in self.fleet.endpoints_of(Kind::Model) {
-            all.push(
-                self.client
-                    .json(&endpoint.engine.url("/standin/counts"))
-                    .await
-                    .expect("the stand-in answers"),
-            );
+        for (index, endpoint) in self.fleet.endpoints.iter().enumerate() {
+            if endpoint.kind == Kind::Model {
+                all.push(self.counts_at(index).await);
+            }
         }
         all
     }
 
+    /// What the model engine of an endpoint counted; nothing of a plain one.
+    pub async fn counts_at(&self, endpoint: usize) -> engine::Counts {
+        let endpoint = &self.fleet.endpoints[endpoint];
+        if endpoint.kind == Kind::Plain {
+            return engine::Counts::default();
+        }
+        let url = endpoint.engine.url("/standin/counts");
+        self.client.json(&url).await.expect("the stand-in answers")
+    }
+
     /// What the registries counted.
     pub async fn runs(&self) -> Runs {
         let mut runs = Vec::new();
