Check gateways' settings by the command line; name all roles in the remedy

lycheeknot settings check knew the files of entries and agents alone and told of a gateway's that its role is none. Test: cli usage.

--- a/crates/cli/src/command/settings.rs
+++ b/crates/cli/src/command/settings.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 
 use serde::Serialize;
-use settings::Settings;
+use settings::File;
 
 use crate::Error;
 use crate::output::Format;
@@ -20,12 +20,16 @@
     }
 }
 
-/// Checks a daemon's settings file.
+/// Checks the settings file of a daemon of any role.
 pub fn check(file: &Path, format: Format) -> Result<(), Error> {
-    let settings = Settings::load(file).map_err(|error| match error {
+    let settings = File::load(file).map_err(|error| match error {
         settings::Error::Invalid(report) => Error::Faults(report.to_string()),
         other => Error::File(file.display().to_string(), other.to_string()),
     })?;
-    format.print(&Checked { vm: settings.vm });
+    let vm = match settings {
+        File::Fleet(settings) => settings.vm,
+        File::Gateway(settings) => settings.vm,
+    };
+    format.print(&Checked { vm });
     Ok(())
 }
--- a/crates/cli/tests/usage.rs
+++ b/crates/cli/tests/usage.rs
@@ -93,3 +93,14 @@
     "#]],
     );
 }
+
+#[test]
+fn the_settings_of_a_gateway_are_checked_as_well() {
+    check(
+        &["settings", "check", "tests/gateway.toml"],
+        expect![[r#"
+        exit 0
+        no faults: settings of VM g-1
+    "#]],
+    );
+}
--- a/crates/daemon/tests/check.rs
+++ b/crates/daemon/tests/check.rs
@@ -44,7 +44,7 @@
         expect![[r#"
         exit 1
         lycheeknotd: the settings have faults; mend these lines:
-          line 2, `role`: is not one of the choices; use "entry" or "agent"
+          line 2, `role`: is not one of the choices; use "entry", "agent" or "gateway"
           line 9, `listen.control`: is not a socket address; write an IP number and a port, as in "10.0.0.7:7001"
     "#]],
     );
--- a/crates/fleet/tests/sessions/operators.rs
+++ b/crates/fleet/tests/sessions/operators.rs
@@ -183,13 +183,13 @@
     expect![[r#"
         $ lycheeknot settings check FILES/settings.toml
         lycheeknot: 
-          line 2, `role`: is not one of the choices; use "entry" or "agent"
+          line 2, `role`: is not one of the choices; use "entry", "agent" or "gateway"
           line 21, `limit.worker`: is not known; remove it or use one of: body_bytes, header_timeout_ms, connections, stop_grace_ms, resume_grace_ms, workers
         exit 5
     "#]].assert_eq(&shown(&["settings", "check", &settings]));
     expect![[r#"
         $ lycheeknot --json settings check FILES/settings.toml
-        {"error":"\n  line 2, `role`: is not one of the choices; use \"entry\" or \"agent\"\n  line 21, `limit.worker`: is not known; remove it or use one of: body_bytes, header_timeout_ms, connections, stop_grace_ms, resume_grace_ms, workers","exit":5}
+        {"error":"\n  line 2, `role`: is not one of the choices; use \"entry\", \"agent\" or \"gateway\"\n  line 21, `limit.worker`: is not known; remove it or use one of: body_bytes, header_timeout_ms, connections, stop_grace_ms, resume_grace_ms, workers","exit":5}
         exit 5
     "#]].assert_eq(&shown(&["--json", "settings", "check", &settings]));
 }
--- a/crates/settings/src/role.rs
+++ b/crates/settings/src/role.rs
@@ -12,7 +12,7 @@
 }
 
 impl Role {
-    pub(crate) const CHOICES: &str = "\"entry\" or \"agent\"";
+    pub(crate) const CHOICES: &str = "\"entry\", \"agent\" or \"gateway\"";
 
     pub(crate) fn parse(text: &str) -> Option<Role> {
         match text {
--- a/crates/settings/tests/sessions.rs
+++ b/crates/settings/tests/sessions.rs
@@ -115,7 +115,7 @@
         expect![[r#"
         the settings have faults; mend these lines:
           line 1, `cluster`: is missing; add a name in quotes
-          line 1, `role`: is missing; add "entry" or "agent"
+          line 1, `role`: is missing; add "entry", "agent" or "gateway"
           line 1, `vm`: is missing; add a name in quotes
           line 1, `centre`: is missing; add a name in quotes
           line 1, `region`: is missing; add a name in quotes
@@ -137,7 +137,7 @@
         the settings have faults; mend these lines:
           line 1, `cluster`: is not an identifier; use 1 to 64 ASCII letters, digits, `-`, `_` or `.`
           line 1, `region`: is missing; add a name in quotes
-          line 2, `role`: is not one of the choices; use "entry" or "agent"
+          line 2, `role`: is not one of the choices; use "entry", "agent" or "gateway"
           line 3, `vm`: is not an identifier; use 1 to 64 ASCII letters, digits, `-`, `_` or `.`
           line 4, `centre`: has the wrong type; write a name in quotes
           line 5, `regoin`: is not known; remove it or use one of: cluster, role, vm, centre, region, listen, peer, platform, engine, limit
