Believe a store that says less than a peer did the second time

Cause (found reading): an answer of the store that is older than what a peer told was left out each time, so a store that was put back would never have been read again. Ruled out: that it may be late each time; reads of the store are linearizable. Change: only the first such answer is left out.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -63,23 +63,28 @@
             knowledge.forget_missing();
         }
     };
-    peers.mirror().expect(&[table.prefix, endpoints.prefix]);
-    let relay = async {
-        loop {
-            let is_known = knowledge.is_complete();
-            sleep(if is_known { ASK_INTERVAL } else { FIRST_ASK_INTERVAL }).await;
-            let missed = peers.mirror().missed();
-            let copies = if missed.is_empty() { Vec::new() } else { peer::ask(peers).await };
-            for copy in copies {
-                let topic = if copy.prefix == table.prefix { &table } else { &endpoints };
-                topic.adopt(&copy);
-            }
-        }
-    };
-    let all = async { tokio::join!(table.follow(), endpoints.follow(), sweep, relay) };
+    let ask = ask_peers(&table, &endpoints);
+    let all = async { tokio::join!(table.follow(), endpoints.follow(), sweep, ask) };
     cancel.run_until_cancelled(all).await;
 }
 
+/// Learns from peers what the store doesn't tell.
+async fn ask_peers(table: &Topic<'_>, endpoints: &Topic<'_>) {
+    let (knowledge, peers) = (table.knowledge, table.peers);
+    peers.mirror().follow(&[table.prefix, endpoints.prefix]);
+    loop {
+        let is_known = knowledge.is_complete();
+        sleep(if is_known { ASK_INTERVAL } else { FIRST_ASK_INTERVAL }).await;
+        if peers.mirror().missed().is_empty() {
+            continue;
+        }
+        for copy in peer::ask(peers).await {
+            let topic = if copy.prefix == table.prefix { table } else { endpoints };
+            topic.adopt(&copy);
+        }
+    }
+}
+
 #[derive(Clone, Copy)]
 enum Part {
     Table,
@@ -100,9 +105,13 @@
     async fn follow(&self) {
         let mut pause = PAUSE;
         let mut after_outage = false;
+        let mut was_older = false;
         loop {
-            match self.feed.scan(self.prefix).await {
-                Ok(listing) if listing.version < self.peers.mirror().version(self.prefix) => {
+            let listing = self.feed.scan(self.prefix).await;
+            let is_older = listing.as_ref().is_ok_and(|listing| self.is_older(listing));
+            match listing {
+                // It was on its way while a peer told more; a second one is what there is.
+                Ok(listing) if is_older && !was_older => {
                     log::warn!(prefix = self.prefix, version = listing.version;
                         "the store's answer is older than what a peer told");
                     after_outage = true;
@@ -125,12 +134,17 @@
                     after_outage = true;
                 }
             }
+            was_older = is_older;
             if after_outage {
                 rest(&mut pause).await;
             }
         }
     }
 
+    fn is_older(&self, listing: &Listing) -> bool {
+        listing.version < self.peers.mirror().version(self.prefix)
+    }
+
     /// Takes in changes until a call fails; says whether the store was away. All is
     /// read anew then: another watch may hear nothing until its time is over.
     async fn watch(&self, mut version: u64) -> bool {
--- a/crates/gateway/src/peer/mirror.rs
+++ b/crates/gateway/src/peer/mirror.rs
@@ -29,8 +29,8 @@
 }
 
 impl Mirror {
-    /// Names prefixes that are to be read.
-    pub fn expect(&mut self, prefixes: &[&str]) {
+    /// Begins to follow prefixes, of which nothing was read yet.
+    pub fn follow(&mut self, prefixes: &[&str]) {
         for prefix in prefixes {
             self.topic(prefix);
         }
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -120,6 +120,12 @@
         // The store's own word goes on from there.
         *turned_away.version.borrow_mut() = Some(9);
         until(&knowledge, "9 e7,e9").await;
+        // A store that was put back says less than a peer did; the configuration stays.
+        *turned_away.version.borrow_mut() = None;
+        *served.version.borrow_mut() = Some(12);
+        until(&knowledge, "12 e12,e9").await;
+        *turned_away.version.borrow_mut() = Some(11);
+        until(&knowledge, "12 e11,e12").await;
         cancel.cancel();
     };
     let source = Arc::clone(&told);
