--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -4,7 +4,7 @@
 
 use rand::RngExt;
 use route::Dialect;
-use rpc::view::Copy;
+use rpc::view::Snapshot;
 use services::Feed;
 use services::feed::Listing;
 use services::store::Change;
@@ -78,9 +78,9 @@
         if peers.mirror().missed().is_empty() {
             continue;
         }
-        for copy in peer::ask(peers).await {
-            let topic = if copy.prefix == table.prefix { table } else { endpoints };
-            topic.adopt(&copy);
+        for snapshot in peer::ask(peers).await {
+            let topic = if snapshot.prefix == table.prefix { table } else { endpoints };
+            topic.adopt(&snapshot);
         }
     }
 }
@@ -172,11 +172,11 @@
     }
 
     /// Takes in what a peer knows. What is missing there may have lapsed with the store.
-    fn adopt(&self, copy: &Copy) {
-        if !self.peers.mirror().adopt(copy) {
+    fn adopt(&self, snapshot: &Snapshot) {
+        if !self.peers.mirror().adopt(snapshot) {
             return;
         }
-        let Listing { entries, version } = &copy.listing;
+        let Listing { entries, version } = &snapshot.listing;
         log::info!(prefix = self.prefix, version, keys = entries.len(); "learnt from a peer");
         self.take_all(entries, true);
     }
--- a/crates/gateway/src/peer/asking.rs
+++ b/crates/gateway/src/peer/asking.rs
@@ -5,8 +5,8 @@
 
 use rand::seq::SliceRandom;
 use rpc::view;
-use rpc::view::Copy;
-use rpc::view::Tell;
+use rpc::view::Answer;
+use rpc::view::Snapshot;
 use tokio::time::timeout;
 
 use crate::peer::Peers;
@@ -18,14 +18,14 @@
 /// Time for a peer's answer, several round trips between data centres.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// What some peer knows beyond what is known here, under the prefixes whose changes
+/// What some peer knows that isn't known here yet, under the prefixes whose changes
 /// are missed: one that hears from the store if there is one, else the one that tells
 /// most to a process that knows nothing.
-pub(crate) async fn ask(peers: &Peers) -> Vec<Copy> {
+pub(crate) async fn ask(peers: &Peers) -> Vec<Snapshot> {
     let mut addresses = peers.addresses();
     addresses.shuffle(&mut rand::rng());
     let mut asked: Vec<SocketAddr> = Vec::new();
-    let mut latest: Vec<Copy> = Vec::new();
+    let mut latest: Vec<Snapshot> = Vec::new();
     while let Some(address) = addresses.pop() {
         if asked.contains(&address) {
             continue;
@@ -34,27 +34,27 @@
             break;
         }
         asked.push(address);
-        let Some(tell) = ask_one(peers, address).await else { continue };
-        if tell.is_current {
-            return tell.copies;
+        let Some(answer) = ask_one(peers, address).await else { continue };
+        if answer.is_current {
+            return answer.snapshots;
         }
-        addresses.extend(tell.peers);
-        if version(&tell.copies) > version(&latest) {
-            latest = tell.copies;
+        addresses.extend(answer.peers);
+        if version(&answer.snapshots) > version(&latest) {
+            latest = answer.snapshots;
         }
     }
-    log::info!(asked:? = asked, copies = latest.len(); "no peer hears from the store");
+    log::info!(asked:? = asked, snapshots = latest.len(); "no peer hears from the store");
     latest
 }
 
-fn version(copies: &[Copy]) -> u64 {
-    copies.iter().map(|copy| copy.listing.version).max().unwrap_or_default()
+fn version(snapshots: &[Snapshot]) -> u64 {
+    snapshots.iter().map(|snapshot| snapshot.listing.version).max().unwrap_or_default()
 }
 
-async fn ask_one(peers: &Peers, address: SocketAddr) -> Option<Tell> {
+async fn ask_one(peers: &Peers, address: SocketAddr) -> Option<Answer> {
     let known = peers.mirror().missed();
     match timeout(ANSWER_TIMEOUT, view::ask(address, &known)).await {
-        Ok(Ok(tell)) => Some(tell),
+        Ok(Ok(answer)) => Some(answer),
         Ok(Err(error)) => {
             log::info!("{error}");
             None
--- a/crates/gateway/src/peer/mirror.rs
+++ b/crates/gateway/src/peer/mirror.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use rpc::view::Copy;
 use rpc::view::Known;
+use rpc::view::Snapshot;
 use services::feed::Listing;
 use services::store::Change;
 
@@ -66,11 +66,11 @@
     }
 
     /// Takes in what a peer knows; says whether it was missed here.
-    pub fn adopt(&mut self, copy: &Copy) -> bool {
-        let topic = self.topic(&copy.prefix);
-        let is_missed = topic.is_missed() && copy.listing.version > topic.listing.version;
+    pub fn adopt(&mut self, snapshot: &Snapshot) -> bool {
+        let topic = self.topic(&snapshot.prefix);
+        let is_missed = topic.is_missed() && snapshot.listing.version > topic.listing.version;
         if is_missed {
-            topic.listing = copy.listing.clone();
+            topic.listing = snapshot.listing.clone();
         }
         is_missed
     }
@@ -96,18 +96,19 @@
         !self.topics.is_empty() && self.topics.iter().all(is_current)
     }
 
-    /// What is known beyond what a peer knows. Where changes aren't heard of, that is
+    /// What is known that a peer doesn't know yet. Where changes aren't heard of, that is
     /// for peers that know nothing: they serve better with it than not at all.
-    pub fn beyond(&self, known: &[Known], now: Duration) -> Vec<Copy> {
+    pub fn newer(&self, known: &[Known], now: Duration) -> Vec<Snapshot> {
         let is_current = self.is_current(now);
-        let beyond = |known: &Known| {
+        let newer = |known: &Known| {
             let topic = self.topics.iter().find(|topic| topic.prefix == known.prefix)?;
             let is_told = is_current || known.version == 0;
             let is_newer = is_told && topic.listing.version > known.version;
-            let copy = || Copy { prefix: known.prefix.clone(), listing: topic.listing.clone() };
-            is_newer.then(copy)
+            let snapshot =
+                || Snapshot { prefix: known.prefix.clone(), listing: topic.listing.clone() };
+            is_newer.then(snapshot)
         };
-        known.iter().filter_map(beyond).collect()
+        known.iter().filter_map(newer).collect()
     }
 
     fn topic(&mut self, prefix: &str) -> &mut Topic {
--- a/crates/gateway/src/peer/peers.rs
+++ b/crates/gateway/src/peer/peers.rs
@@ -5,9 +5,9 @@
 
 use parking_lot::Mutex;
 use parking_lot::MutexGuard;
+use rpc::view::Answer;
 use rpc::view::Known;
 use rpc::view::Source;
-use rpc::view::Tell;
 
 use crate::Knowledge;
 use crate::peer::Mirror;
@@ -61,11 +61,11 @@
 }
 
 impl Source for Peers {
-    fn beyond(&self, known: &[Known]) -> Tell {
+    fn newer(&self, known: &[Known]) -> Answer {
         let mut peers = self.addresses();
         peers.truncate(NAMED);
         let now = self.knowledge.now();
         let mirror = self.mirror.lock();
-        Tell { is_current: mirror.is_current(now), copies: mirror.beyond(known, now), peers }
+        Answer { is_current: mirror.is_current(now), snapshots: mirror.newer(known, now), peers }
     }
 }
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -14,8 +14,8 @@
 use gateway::Mirror;
 use gateway::Peers;
 use platform::Words;
-use rpc::view::Copy;
 use rpc::view::Known;
+use rpc::view::Snapshot;
 use services::Feed;
 use services::feed::Listing;
 use services::store::Change;
@@ -191,32 +191,33 @@
     mirror.changed("a/", &change, NOW + Duration::from_secs(4));
     let known = |version| Known { prefix: "a/".to_owned(), version };
     let now = NOW + Duration::from_secs(5);
-    let told = mirror.beyond(&[known(7)], now);
+    let told = mirror.newer(&[known(7)], now);
     expect![[r#"
         "a/" ["a/2", "a/3"] 8
     "#]]
     .assert_eq(&told.iter().map(show).collect::<String>());
-    assert_eq!(mirror.beyond(&[known(8)], now), []);
+    assert_eq!(mirror.newer(&[known(8)], now), []);
     assert!(mirror.is_current(now));
     let late = NOW + Duration::from_secs(6);
     assert!(!mirror.is_current(late), "b/ was not heard of for 6 s");
-    assert_eq!(mirror.beyond(&[known(7)], late), []);
-    assert_eq!(mirror.beyond(&[known(0)], late).len(), 1, "the caller knows nothing");
+    assert_eq!(mirror.newer(&[known(7)], late), []);
+    assert_eq!(mirror.newer(&[known(0)], late).len(), 1, "the caller knows nothing");
 }
 
 #[test]
 fn only_what_is_missed_is_learnt() {
     let mut mirror = mirror();
-    let copy = |version| Copy { prefix: "a/".to_owned(), listing: listing(&["a/9"], version) };
-    assert!(!mirror.adopt(&copy(9)), "the store still tells");
+    let snapshot =
+        |version| Snapshot { prefix: "a/".to_owned(), listing: listing(&["a/9"], version) };
+    assert!(!mirror.adopt(&snapshot(9)), "the store still tells");
     mirror.lost("a/");
     assert_eq!(mirror.missed(), [Known { prefix: "a/".to_owned(), version: 5 }]);
-    assert!(!mirror.adopt(&copy(5)), "it is known");
-    assert!(mirror.adopt(&copy(9)));
+    assert!(!mirror.adopt(&snapshot(5)), "it is known");
+    assert!(mirror.adopt(&snapshot(9)));
     assert_eq!(mirror.version("a/"), 9);
 }
 
-fn show(copy: &Copy) -> String {
-    let keys: Vec<&str> = copy.listing.entries.iter().map(|entry| entry.key.as_str()).collect();
-    format!("{:?} {keys:?} {}\n", copy.prefix, copy.listing.version)
+fn show(snapshot: &Snapshot) -> String {
+    let keys: Vec<&str> = snapshot.listing.entries.iter().map(|entry| entry.key.as_str()).collect();
+    format!("{:?} {keys:?} {}\n", snapshot.prefix, snapshot.listing.version)
 }
--- a/crates/rpc/src/view.rs
+++ b/crates/rpc/src/view.rs
@@ -29,36 +29,36 @@
 
 /// The keys under a prefix as the answering process knows them.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Copy {
+pub struct Snapshot {
     /// What the keys begin with.
     pub prefix: String,
     /// The keys, with the service's version up to which they are known.
     pub listing: Listing,
 }
 
-/// An answer.
+/// What a process answers to a peer.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Tell {
+pub struct Answer {
     /// Whether the answering process itself hears of the service's changes.
     pub is_current: bool,
     /// The prefixes of which it knows more than the caller.
-    pub copies: Vec<Copy>,
+    pub snapshots: Vec<Snapshot>,
     /// Other processes that may be asked.
     pub peers: Vec<SocketAddr>,
 }
 
 /// Answers peers.
 pub trait Source: Send + Sync {
-    /// What is known beyond what a peer knows.
-    fn beyond(&self, known: &[Known]) -> Tell;
+    /// What is known that a peer doesn't know yet.
+    fn newer(&self, known: &[Known]) -> Answer;
 }
 
 /// The call itself; both sides pack their messages as control calls do.
 #[rpc(server, client, namespace = "view")]
 pub trait View {
-    /// Gives what the process knows beyond a packed list of [`Known`], as a packed [`Tell`].
-    #[method(name = "beyond")]
-    async fn beyond(&self, known: String) -> RpcResult<String>;
+    /// Gives what is newer than a packed list of [`Known`], as a packed [`Answer`].
+    #[method(name = "newer")]
+    async fn newer(&self, known: String) -> RpcResult<String>;
 }
 
 struct Methods {
@@ -67,13 +67,13 @@
 
 #[async_trait]
 impl ViewServer for Methods {
-    async fn beyond(&self, known: String) -> RpcResult<String> {
+    async fn newer(&self, known: String) -> RpcResult<String> {
         let known: Option<Vec<Known>> = packet::decode(&known);
         let known = known.ok_or_else(|| limit::invalid("the list can't be read"))?;
         if known.len() > limit::PREFIXES {
             return Err(limit::invalid("the list names too many prefixes"));
         }
-        Ok(packet::encode(&self.source.beyond(&known)))
+        Ok(packet::encode(&self.source.newer(&known)))
     }
 }
 
@@ -98,16 +98,16 @@
     Ok(())
 }
 
-/// Asks a peer what it knows beyond what this process knows. Connections aren't
+/// Asks a peer what it knows that this process doesn't know yet. Connections aren't
 /// kept: peers are asked only while the service turns this process away.
 ///
 /// # Errors
 ///
 /// [`Error::Unreachable`] and [`Error::Refused`].
-pub async fn ask(peer: SocketAddr, known: &[Known]) -> Result<Tell, Error> {
+pub async fn ask(peer: SocketAddr, known: &[Known]) -> Result<Answer, Error> {
     let client = pool::builder().build(format!("ws://{peer}")).await;
     let client = client.map_err(|error| Error::Unreachable(peer, error.to_string()))?;
-    let answer = client.beyond(packet::encode(&known)).await;
+    let answer = client.newer(packet::encode(&known)).await;
     let answer = answer.map_err(|error| pool::error(peer, error))?;
     pool::read(peer, &answer)
 }
