--- a/crates/rpc/src/server.rs
+++ b/crates/rpc/src/server.rs
@@ -8,6 +8,7 @@
 use jsonrpsee::server::PingConfig;
 use jsonrpsee::server::Server;
 use jsonrpsee::server::ServerConfig;
+use jsonrpsee::server::ServerHandle;
 use tokio::time;
 use tokio_util::sync::CancellationToken;
 use tower::ServiceBuilder;
@@ -54,13 +55,7 @@
         .set_http_middleware(ServiceBuilder::new().layer(GateLayer { keys }))
         .build_from_tcp(listener)
         .map_err(|error| failed(listen, &error))?;
-    let handle = server.start(Methods { handler }.into_rpc());
-    cancel.cancelled().await;
-    // An error only says that the server has stopped already.
-    let _ = handle.stop();
-    if time::timeout(limit::STOP_TIMEOUT, handle.stopped()).await.is_err() {
-        log::debug!("peers still held control connections when the server stopped");
-    }
+    run(server.start(Methods { handler }.into_rpc()), cancel).await;
     Ok(())
 }
 
@@ -72,6 +67,16 @@
     server.map_err(|error| failed(listen, &error))
 }
 
+/// Lets a server run until cancelled, then stops it.
+pub(crate) async fn run(server: ServerHandle, cancel: CancellationToken) {
+    cancel.cancelled().await;
+    // An error only says that the server has stopped already.
+    let _ = server.stop();
+    if time::timeout(limit::STOP_TIMEOUT, server.stopped()).await.is_err() {
+        log::debug!("peers still held control connections when the server stopped");
+    }
+}
+
 fn config() -> ServerConfig {
     ServerConfig::builder()
         .ws_only()
--- a/crates/rpc/src/view.rs
+++ b/crates/rpc/src/view.rs
@@ -9,7 +9,6 @@
 use serde::Deserialize;
 use serde::Serialize;
 use services::feed::Listing;
-use tokio::time;
 use tokio_util::sync::CancellationToken;
 
 use crate::Error;
@@ -88,13 +87,7 @@
     cancel: CancellationToken,
 ) -> Result<(), Error> {
     let server = server::open(listen)?;
-    let handle = server.start(Methods { source }.into_rpc());
-    cancel.cancelled().await;
-    // An error only says that the server has stopped already.
-    let _ = handle.stop();
-    if time::timeout(limit::STOP_TIMEOUT, handle.stopped()).await.is_err() {
-        log::debug!("peers still held connections when the server stopped");
-    }
+    server::run(server.start(Methods { source }.into_rpc()), cancel).await;
     Ok(())
 }
 
