Share one way to send an attempt, to wait for what is known, and to look up

Written twice by this change: forward and relay each chose, sent and recorded an attempt (send_next now); the server and the daemon each looked whether all is known (Knowledge::completed); a refusal of a closing gateway stood twice (Answering::begin asks both); look-ups by prefix, endpoint and service (find, find_service). What is missed is asked for once a round, not once a peer. Dead: a result of Knowledge::answered that nobody read, the alias EndpointId.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -16,7 +16,6 @@
 use telemetry::Reason;
 use telemetry::admin::Source;
 use telemetry::metrics::Recorder;
-use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -86,12 +85,7 @@
     knowledge: Arc<Knowledge>,
     stop: CancellationToken,
 ) {
-    let known = async {
-        while !knowledge.is_complete() {
-            sleep(INTERVAL).await;
-        }
-    };
-    if stop.run_until_cancelled(known).await.is_some() {
+    if stop.run_until_cancelled(knowledge.completed(INTERVAL)).await.is_some() {
         readiness.lift(Reason::Configuration);
         log::info!(version = knowledge.table().version(); "ready");
     }
--- a/crates/gateway/src/answering.rs
+++ b/crates/gateway/src/answering.rs
@@ -14,9 +14,12 @@
 }
 
 impl Answering {
-    /// `None` where the connection is closing, so that no answer can be written.
+    /// `None` where the connection is closing, so that no answer can be written, and
+    /// after the process's last answer. The token is taken before the look at the latter,
+    /// so that whoever passes it is waited for.
     pub(crate) fn begin(worker: &Worker, head: &HttpRequest) -> Option<Answering> {
         let busy = worker.connections.busy(head.io()?)?;
-        Some(Answering { _busy: busy, _token: worker.context.answers.token() })
+        let answering = Answering { _busy: busy, _token: worker.context.answers.token() };
+        (!worker.context.over.is_cancelled()).then_some(answering)
     }
 }
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -75,10 +75,11 @@
     loop {
         let is_known = knowledge.is_complete();
         sleep(if is_known { ASK_INTERVAL } else { FIRST_ASK_INTERVAL }).await;
-        if peers.mirror().missed().is_empty() {
+        let missed = peers.mirror().missed();
+        if missed.is_empty() {
             continue;
         }
-        for snapshot in peer::ask(peers).await {
+        for snapshot in peer::ask(peers, &missed).await {
             let topic = if snapshot.prefix == table.prefix { table } else { endpoints };
             topic.adopt(&snapshot);
         }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -120,8 +120,7 @@
     }
 
     pub(crate) fn put(&mut self, endpoint: Endpoint) {
-        let found = self.endpoints.binary_search_by(|known| known.endpoint.id.cmp(&endpoint.id));
-        match found {
+        match self.find(&endpoint.id) {
             Ok(index) if self.endpoints[index].endpoint.is_same_start(&endpoint) => {
                 let known = &mut self.endpoints[index];
                 known.endpoint = Arc::new(endpoint);
@@ -133,14 +132,17 @@
     }
 
     fn with(&mut self, id: &str, change: impl FnOnce(&mut Known)) {
-        let found = self.endpoints.binary_search_by(|known| (*known.endpoint.id).cmp(id));
-        if let Ok(index) = found {
+        if let Ok(index) = self.find(id) {
             change(&mut self.endpoints[index]);
         }
     }
 
+    fn find(&self, id: &str) -> Result<usize, usize> {
+        self.endpoints.binary_search_by(|known| (*known.endpoint.id).cmp(id))
+    }
+
     pub(crate) fn outliers(&mut self, service: &Arc<str>) -> &mut Outliers {
-        let index = match self.outliers.binary_search_by(|(name, _)| name.cmp(service)) {
+        let index = match find_service(&self.outliers, service) {
             Ok(index) => index,
             Err(index) => {
                 self.outliers.insert(index, (Arc::clone(service), Outliers::default()));
@@ -178,7 +180,7 @@
         if !wish.may_probe {
             return None;
         }
-        let index = self.outliers.binary_search_by(|(name, _)| (**name).cmp(wish.service)).ok()?;
+        let index = find_service(&self.outliers, wish.service).ok()?;
         let outliers = &mut self.outliers[index].1;
         let open = self.endpoints.iter().filter(|known| known.is_open(wish));
         let mut due = open.filter(|known| outliers.probe(&known.endpoint.id, now));
@@ -201,8 +203,8 @@
     }
 
     fn outliers_of(&self, service: &str) -> Option<&Outliers> {
-        let found = self.outliers.binary_search_by(|(name, _)| (**name).cmp(service)).ok()?;
-        Some(&self.outliers[found].1)
+        let index = find_service(&self.outliers, service).ok()?;
+        Some(&self.outliers[index].1)
     }
 
     fn is_failing(&self, endpoint: &Endpoint) -> bool {
@@ -236,3 +238,7 @@
             && !wish.tried.contains(&endpoint.id)
     }
 }
+
+fn find_service(outliers: &[(Arc<str>, Outliers)], service: &str) -> Result<usize, usize> {
+    outliers.binary_search_by(|(name, _)| (**name).cmp(service))
+}
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -59,10 +59,10 @@
     tries: &mut Tries,
 ) -> Result<Answer, Refusal> {
     loop {
-        let Some(choice) = next(worker, request, tries) else { return tries.last_resort() };
-        tries.tried.push(Arc::clone(&choice.endpoint.id));
-        let outcome = attempt::send(worker, request, &choice, request.ask.last_event).await;
-        record::attempt(request, &choice.endpoint, &outcome);
+        let last_event = request.ask.last_event;
+        let Some(outcome) = send_next(worker, request, tries, last_event).await else {
+            return tries.last_resort();
+        };
         let goes_on = match outcome {
             Outcome::Begun(begun) => {
                 tries.sent += 1;
@@ -100,8 +100,23 @@
     }
 }
 
+/// Sends a request to the next endpoint, after an event where it is a stream that goes
+/// on; `None` where no endpoint is left.
+pub(crate) async fn send_next(
+    worker: &Rc<Worker>,
+    request: &Request,
+    tries: &mut Tries,
+    last_event: Option<u64>,
+) -> Option<Outcome> {
+    let choice = next(worker, request, tries)?;
+    tries.tried.push(Arc::clone(&choice.endpoint.id));
+    let outcome = attempt::send(worker, request, &choice, last_event).await;
+    record::attempt(request, &choice.endpoint, &outcome);
+    Some(outcome)
+}
+
 /// The endpoint that a request is to be sent to next, where it is counted already.
-pub(crate) fn next(worker: &Worker, request: &Request, tries: &Tries) -> Option<Choice> {
+fn next(worker: &Worker, request: &Request, tries: &Tries) -> Option<Choice> {
     let seed = rand::rng().random();
     let wish = Wish {
         service: &request.service,
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -13,6 +13,7 @@
 use route::Endpoint;
 use route::Table;
 use route::reply::Load;
+use tokio::time::sleep;
 
 use crate::fleet::Fleet;
 use crate::wish::Choice;
@@ -65,6 +66,13 @@
         self.gateways.store(gateways, Ordering::Relaxed);
     }
 
+    /// Waits until configuration and endpoints are known, looking at it so often.
+    pub async fn completed(&self, interval: Duration) {
+        while !self.is_complete() {
+            sleep(interval).await;
+        }
+    }
+
     /// Takes in a configuration unless a newer one is in force; says whether it did.
     pub fn set_table(&self, table: Table) -> bool {
         let mut current = self.table.write();
@@ -130,9 +138,9 @@
     }
 
     /// Takes in that an endpoint answered a request well, and how long that took.
-    pub(crate) fn answered(&self, endpoint: &Endpoint, latency: Duration) -> bool {
+    pub(crate) fn answered(&self, endpoint: &Endpoint, latency: Duration) {
         let now = self.now();
-        self.fleet.lock().outliers(&endpoint.service).answered(&endpoint.id, latency, now)
+        self.fleet.lock().outliers(&endpoint.service).answered(&endpoint.id, latency, now);
     }
 
     /// Takes in that an endpoint failed; says whether it is left out for it.
--- a/crates/gateway/src/peer/asking.rs
+++ b/crates/gateway/src/peer/asking.rs
@@ -6,6 +6,7 @@
 use rand::seq::SliceRandom;
 use rpc::view;
 use rpc::view::Answer;
+use rpc::view::Known;
 use rpc::view::Snapshot;
 use tokio::time::timeout;
 
@@ -21,7 +22,7 @@
 /// What some peer knows that isn't known here yet, under the prefixes whose changes
 /// are missed: one that hears from the store if there is one, else the one that tells
 /// most to a process that knows nothing.
-pub(crate) async fn ask(peers: &Peers) -> Vec<Snapshot> {
+pub(crate) async fn ask(peers: &Peers, missed: &[Known]) -> Vec<Snapshot> {
     let mut addresses = peers.addresses();
     addresses.shuffle(&mut rand::rng());
     let mut asked: Vec<SocketAddr> = Vec::new();
@@ -34,7 +35,7 @@
             break;
         }
         asked.push(address);
-        let Some(answer) = ask_one(peers, address).await else { continue };
+        let Some(answer) = ask_one(address, missed).await else { continue };
         if answer.is_current {
             return answer.snapshots;
         }
@@ -51,9 +52,8 @@
     snapshots.iter().map(|snapshot| snapshot.listing.version).max().unwrap_or_default()
 }
 
-async fn ask_one(peers: &Peers, address: SocketAddr) -> Option<Answer> {
-    let known = peers.mirror().missed();
-    match timeout(ANSWER_TIMEOUT, view::ask(address, &known)).await {
+async fn ask_one(address: SocketAddr, missed: &[Known]) -> Option<Answer> {
+    match timeout(ANSWER_TIMEOUT, view::ask(address, missed)).await {
         Ok(Ok(answer)) => Some(answer),
         Ok(Err(error)) => {
             log::info!("{error}");
--- a/crates/gateway/src/peer/mirror.rs
+++ b/crates/gateway/src/peer/mirror.rs
@@ -77,8 +77,7 @@
 
     /// The store's version up to which the keys under a prefix are known; 0 for nothing.
     pub fn version(&self, prefix: &str) -> u64 {
-        let found = self.topics.binary_search_by(|topic| topic.prefix.as_str().cmp(prefix));
-        found.map_or(0, |index| self.topics[index].listing.version)
+        self.find(prefix).map_or(0, |index| self.topics[index].listing.version)
     }
 
     /// The prefixes under which changes are missed, with what is known there.
@@ -101,7 +100,7 @@
     pub fn newer(&self, known: &[Known], now: Duration) -> Vec<Snapshot> {
         let is_current = self.is_current(now);
         let newer = |known: &Known| {
-            let topic = self.topics.iter().find(|topic| topic.prefix == known.prefix)?;
+            let topic = &self.topics[self.find(&known.prefix).ok()?];
             let is_told = is_current || known.version == 0;
             let is_newer = is_told && topic.listing.version > known.version;
             let snapshot =
@@ -112,14 +111,17 @@
     }
 
     fn topic(&mut self, prefix: &str) -> &mut Topic {
-        let found = self.topics.binary_search_by(|topic| topic.prefix.as_str().cmp(prefix));
-        let index = found.unwrap_or_else(|index| {
+        let index = self.find(prefix).unwrap_or_else(|index| {
             let topic = Topic { prefix: prefix.to_owned(), ..Topic::default() };
             self.topics.insert(index, topic);
             index
         });
         &mut self.topics[index]
     }
+
+    fn find(&self, prefix: &str) -> Result<usize, usize> {
+        self.topics.binary_search_by(|topic| topic.prefix.as_str().cmp(prefix))
+    }
 }
 
 impl Topic {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,6 +1,7 @@
 //! A series of events on its way to a client.
 
 use std::io;
+use std::mem;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -12,7 +13,6 @@
 use link::Connection;
 use tokio::time::timeout_at;
 
-use crate::attempt;
 use crate::attempt::Begun;
 use crate::attempt::Outcome;
 use crate::events::Splitter;
@@ -55,17 +55,15 @@
         worker: &Rc<Worker>,
         request: Rc<Request>,
         tries: Tries,
-        begun: Begun,
+        mut begun: Begun,
     ) -> Relay {
-        let Begun { endpoint, response, connection, seat } = begun;
-        let (head, body) = response.into_parts();
         Relay {
             worker: Rc::clone(worker),
             request,
             tries,
-            status: head.status,
-            headers: head.headers,
-            source: Some(Source { endpoint, body, connection, _seat: seat }),
+            status: begun.response.status(),
+            headers: mem::take(begun.response.headers_mut()),
+            source: Some(Source::from(begun)),
             events: Splitter::default(),
         }
     }
@@ -134,19 +132,13 @@
         self.events.take_rest();
         let last = self.events.last().or(self.request.ask.last_event);
         while forward::may_repeat(&worker, &self.request, &self.tries) {
-            let Some(choice) = forward::next(&worker, &self.request, &self.tries) else {
-                return false;
-            };
-            self.tries.tried.push(Arc::clone(&choice.endpoint.id));
+            let sent = forward::send_next(&worker, &self.request, &mut self.tries, last).await;
+            let Some(outcome) = sent else { return false };
             self.tries.sent += 1;
-            let outcome = attempt::send(&worker, &self.request, &choice, last).await;
-            record::attempt(&self.request, &choice.endpoint, &outcome);
             if let Outcome::Begun(begun) = outcome {
-                log::info!(id = self.request.id(), endpoint = &*choice.endpoint.id, last:?;
+                log::info!(id = self.request.id(), endpoint = &*begun.endpoint.id, last:?;
                     "goes on");
-                let Begun { endpoint, response, connection, seat } = *begun;
-                let body = response.into_body();
-                self.source = Some(Source { endpoint, body, connection, _seat: seat });
+                self.source = Some(Source::from(*begun));
                 return true;
             }
         }
@@ -158,6 +150,13 @@
     }
 }
 
+impl From<Begun> for Source {
+    fn from(begun: Begun) -> Source {
+        let Begun { endpoint, response, connection, seat } = begun;
+        Source { endpoint, body: response.into_body(), connection, _seat: seat }
+    }
+}
+
 impl Drop for Relay {
     fn drop(&mut self) {
         // An endpoint is left over where the client went away.
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -120,11 +120,8 @@
 /// Connections wait until the process knows what to do with them, as it does a moment
 /// after its start, rather than being refused. A store that is away ends the wait.
 async fn wait_for_first_read(context: &Context) {
-    let known = async {
-        while !context.knowledge.is_complete() && !context.stop.is_cancelled() {
-            sleep(FIRST_READ_INTERVAL).await;
-        }
-    };
+    let known = context.knowledge.completed(FIRST_READ_INTERVAL);
+    let known = context.stop.run_until_cancelled(known);
     if timeout(FIRST_READ_TIME, known).await.is_err() {
         log::info!("the first read takes over {FIRST_READ_TIME:?}; clients are told to come back");
     }
@@ -154,10 +151,6 @@
         record::refusal(None, head.path(), 0, Refusal::Closing);
         return Refusal::Closing.response();
     };
-    if worker.context.over.is_cancelled() {
-        record::refusal(None, head.path(), 0, Refusal::Closing);
-        return Refusal::Closing.response();
-    }
     let headers = headers::from_client(head.headers());
     let ask = worker.context.dialect.ask(&headers);
     let id = ask.id.clone();
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -25,7 +25,5 @@
 
 /// Names a service, as operators do.
 pub type ServiceName = String;
-/// Names one start of an endpoint.
-pub type EndpointId = String;
 /// Counts configurations; a higher one is newer.
 pub type Version = u64;
