Bound the time for the body of a message without the fleet's key

Cause: reading a body before it is refused had been woven into the loop of messages that are taken, which has no time limit of its own; who shows no key could hold a connection by a body that never comes, and one over 16 KB got 413 in place of 401. Ruled out: the gateway, whose refusals have such a limit. Change: the check stands before the loop again; the rest is read within half a second. Test: agent serve, a_message_without_the_key_is_refused_also_if_its_body_does_not_come; no answer within 2 s before.

--- a/crates/agent/src/handler.rs
+++ b/crates/agent/src/handler.rs
@@ -7,6 +7,7 @@
 use ntex::http::StatusCode;
 use ntex::web;
 use ntex::web::HttpResponse;
+use tokio::time::timeout;
 use wire::Problem;
 use wire::codec;
 use wire::key;
@@ -21,6 +22,9 @@
 /// The longest body that is read of a caller without the fleet's key.
 const KEYLESS_BYTES: usize = 16 * 1024;
 
+/// How long that body may take.
+const KEYLESS_TIME: Duration = Duration::from_millis(500);
+
 /// An entry that takes no frame for this long is taken to be gone.
 const READ_STALL: Duration = Duration::from_secs(10);
 
@@ -85,13 +89,19 @@
 /// The body of a message from a process that shows the fleet's key.
 async fn body(
     request: &web::HttpRequest,
-    mut payload: web::types::Payload,
+    payload: web::types::Payload,
     worker: &Worker,
 ) -> Result<Vec<u8>, Problem> {
     let shown = request.headers().get(key::HEADER).map(|header| header.as_bytes());
-    let is_keyless = !worker.key.is_shown(shown);
-    // The server closes a connection whose body was not read, so that a refusal is lost.
-    let limit = if is_keyless { KEYLESS_BYTES } else { worker.body_bytes };
+    if !worker.key.is_shown(shown) {
+        // The server closes a connection whose body was not read, and the refusal is lost.
+        let _ = timeout(KEYLESS_TIME, read(payload, KEYLESS_BYTES)).await;
+        return Err(keyless());
+    }
+    read(payload, worker.body_bytes).await
+}
+
+async fn read(mut payload: web::types::Payload, limit: usize) -> Result<Vec<u8>, Problem> {
     let mut bytes = Vec::new();
     while let Some(chunk) = payload.next().await {
         let chunk = chunk.map_err(|_| foreign("the body broke off: send it whole"))?;
@@ -100,7 +110,7 @@
         }
         bytes.extend_from_slice(&chunk);
     }
-    if is_keyless { Err(keyless()) } else { Ok(bytes) }
+    Ok(bytes)
 }
 
 fn foreign(detail: &str) -> Problem {
--- a/crates/agent/tests/agent/serve.rs
+++ b/crates/agent/tests/agent/serve.rs
@@ -185,3 +185,28 @@
     let ended = tokio::time::timeout(HANG, served).await.expect("the server stops");
     ended.expect("no panic").expect("no error");
 }
+
+/// Who shows no key can't hold a connection by a body that never comes.
+#[ntex::test]
+async fn a_message_without_the_key_is_refused_also_if_its_body_does_not_come() {
+    let context = context();
+    let engines = Arc::new(|| async { Ok(whole()) }.boxed_local());
+    let cancel = CancellationToken::new();
+    ntex::rt::spawn(agent::serve_engine(context.clone(), engines, cancel.clone()));
+    live(&context).await;
+    let listen = context.listen;
+    let status = tokio::task::spawn_blocking(move || keyless_status(listen)).await;
+    cancel.cancel();
+    assert_eq!(status.expect("an answer"), "HTTP/1.1 401");
+}
+
+/// Sends the head of a message without a key and reads the begin of the answer.
+fn keyless_status(listen: SocketAddr) -> String {
+    let mut socket = TcpStream::connect(listen).expect("a connection");
+    socket.set_read_timeout(Some(HANG / 5)).expect("a timeout");
+    let head = "POST /attempt HTTP/1.1\r\ncontent-length: 5\r\n\r\n";
+    socket.write_all(head.as_bytes()).expect("the head is taken");
+    let mut status = [0; 12];
+    socket.read_exact(&mut status).expect("an answer begins");
+    String::from_utf8_lossy(&status).into_owned()
+}
