Write what two tests tell a gateway once; drop a reader of settings that nobody calls

The store's entries stood in feed.rs and peers.rs, the paced stream twice in stops.rs. Settings::load has no caller since the command line reads File::load, which had its body again; the test of a missing file calls File::load with the same expectation. The assertions are as they were.

--- a/crates/gateway/tests/feed.rs
+++ b/crates/gateway/tests/feed.rs
@@ -1,5 +1,8 @@
 //! What a store tells in, what a gateway knows out.
 
+#[path = "support/entries.rs"]
+mod entries;
+
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -18,6 +21,10 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
+use crate::entries::announced;
+use crate::entries::entry;
+use crate::entries::table;
+
 /// A store with scripted answers about endpoints and one configuration.
 struct Script {
     scans: RefCell<VecDeque<Result<Listing, Error>>>,
@@ -25,25 +32,6 @@
     tables: RefCell<VecDeque<u64>>,
 }
 
-fn entry(key: &str, value: &str) -> Entry {
-    Entry { key: key.to_owned(), value: value.as_bytes().to_vec(), version: 1 }
-}
-
-fn announced(id: &str, state: &str) -> Entry {
-    let value = format!(
-        r#"{{"service": "s", "address": "10.0.0.1:80", "zone": "a", "state": "{state}", "born": 1}}"#
-    );
-    entry(&format!("servers/{id}"), &value)
-}
-
-fn table(version: u64) -> Entry {
-    let value = format!(
-        r#"{{"version": {version}, "services": [], "routes": [{{"name": "r", "hostname": "h",
-            "prefix": "/", "service": "s", "type": "mutating"}}]}}"#
-    );
-    entry("op/config", &value)
-}
-
 fn all(entries: Vec<Entry>) -> Result<Listing, Error> {
     Ok(Listing { entries, version: 5 })
 }
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -1,5 +1,8 @@
 //! Gateways that the store turns away learn from those that it serves.
 
+#[path = "support/entries.rs"]
+mod entries;
+
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::net::TcpListener;
@@ -19,11 +22,14 @@
 use services::Feed;
 use services::feed::Listing;
 use services::store::Change;
-use services::store::Entry;
 use services::store::Error;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
+use crate::entries::announced;
+use crate::entries::entry;
+use crate::entries::table;
+
 /// A store that has a configuration and endpoints, or turns the caller away.
 struct Store {
     version: RefCell<Option<u64>>,
@@ -38,7 +44,7 @@
         let version = self.version.borrow().ok_or_else(|| Error::Down("reset".to_owned()))?;
         let entry = match prefix {
             "op/config" => table(version),
-            _ => endpoint(&format!("e{version}")),
+            _ => announced(&format!("e{version}"), "ready"),
         };
         Ok(Listing { entries: vec![entry], version })
     }
@@ -68,20 +74,6 @@
     }
 }
 
-fn table(version: u64) -> Entry {
-    let value = format!(
-        r#"{{"version": {version}, "services": [], "routes": [{{"name": "r", "hostname": "h",
-            "prefix": "/", "service": "s", "type": "mutating"}}]}}"#
-    );
-    Entry { key: "op/config".to_owned(), value: value.into_bytes(), version }
-}
-
-fn endpoint(id: &str) -> Entry {
-    let value =
-        r#"{"service": "s", "address": "10.0.0.1:80", "zone": "a", "state": "ready", "born": 1}"#;
-    Entry { key: format!("servers/{id}"), value: value.as_bytes().to_vec(), version: 1 }
-}
-
 fn free_address() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     listener.local_addr().expect("an address")
@@ -172,8 +164,7 @@
 const NOW: Duration = Duration::from_secs(100);
 
 fn listing(keys: &[&str], version: u64) -> Listing {
-    let entry = |key: &&str| Entry { key: (*key).to_owned(), value: Vec::new(), version: 1 };
-    Listing { entries: keys.iter().map(entry).collect(), version }
+    Listing { entries: keys.iter().map(|key| entry(key, "")).collect(), version }
 }
 
 fn mirror() -> Mirror {
--- a/crates/gateway/tests/sessions/stops.rs
+++ b/crates/gateway/tests/sessions/stops.rs
@@ -13,19 +13,14 @@
 use crate::support::script::HEAD;
 use crate::support::script::begin;
 use crate::support::script::check;
-use crate::support::script::end;
 use crate::support::script::event;
+use crate::support::script::paced;
 use crate::support::script::wait;
 use crate::support::script::whole;
 
 #[test]
 fn a_stop_cuts_no_stream() {
-    let mut answer = vec![begin()];
-    for id in 1..=20 {
-        answer.extend([event(id), Step::Pause(100)]);
-    }
-    answer.push(end());
-    let endpoint = Endpoint::start("e1", vec![answer]);
+    let endpoint = Endpoint::start("e1", vec![paced(20)]);
     let scene = Scene::new("model", &[&endpoint]);
     let mut client = Client::connect(scene.address);
     client.send(&format!("POST /once/1 HTTP/1.1\r\n{HEAD}Content-Length: 2\r\n\r\nhi"));
@@ -58,12 +53,7 @@
 
 #[test]
 fn after_the_notice_requests_that_may_outlast_the_process_are_refused() {
-    let mut answer = vec![begin()];
-    for id in 1..=10 {
-        answer.extend([event(id), Step::Pause(100)]);
-    }
-    answer.push(end());
-    let endpoint = Endpoint::start("e1", vec![answer]);
+    let endpoint = Endpoint::start("e1", vec![paced(10)]);
     let scene = Scene::new("model", &[&endpoint]);
     let request = format!("POST /once/1 HTTP/1.1\r\n{HEAD}Content-Length: 2\r\n\r\nhi");
     let mut streaming = Client::connect(scene.address);
--- a/crates/gateway/tests/sessions/support/script.rs
+++ b/crates/gateway/tests/sessions/support/script.rs
@@ -39,6 +39,12 @@
     send("0\r\n\r\n")
 }
 
+/// A whole stream of so many events, one each 100 ms.
+pub fn paced(events: u64) -> Vec<Step> {
+    let pieces = (1..=events).flat_map(|id| [event(id), Step::Pause(100)]);
+    [begin()].into_iter().chain(pieces).chain([end()]).collect()
+}
+
 /// What an endpoint was sent, with the time left made the same for every run.
 pub fn seen(endpoint: &Endpoint) -> String {
     let shown = |request: String| {
--- /dev/null
+++ b/crates/gateway/tests/support/entries.rs
@@ -0,0 +1,24 @@
+//! Keys of the store as operators and endpoints write them.
+
+use services::store::Entry;
+
+pub fn entry(key: &str, value: &str) -> Entry {
+    Entry { key: key.to_owned(), value: value.as_bytes().to_vec(), version: 1 }
+}
+
+/// An endpoint's announcement.
+pub fn announced(id: &str, state: &str) -> Entry {
+    let value = format!(
+        r#"{{"service": "s", "address": "10.0.0.1:80", "zone": "a", "state": "{state}", "born": 1}}"#
+    );
+    entry(&format!("servers/{id}"), &value)
+}
+
+/// A configuration with one route.
+pub fn table(version: u64) -> Entry {
+    let value = format!(
+        r#"{{"version": {version}, "services": [], "routes": [{{"name": "r", "hostname": "h",
+            "prefix": "/", "service": "s", "type": "mutating"}}]}}"#
+    );
+    entry("op/config", &value)
+}
--- a/crates/settings/src/settings.rs
+++ b/crates/settings/src/settings.rs
@@ -1,8 +1,5 @@
 //! The settings of one daemon.
 
-use std::fs;
-use std::path::Path;
-
 use toml::de::DeTable;
 
 use crate::engine::Engine;
@@ -46,17 +43,6 @@
 }
 
 impl Settings {
-    /// Reads and checks a settings file.
-    ///
-    /// # Errors
-    ///
-    /// [`Error::Unreadable`] where the file can't be read, else as [`Settings::parse`].
-    pub fn load(path: &Path) -> Result<Settings, Error> {
-        let text = fs::read_to_string(path)
-            .map_err(|source| Error::Unreadable { path: path.to_owned(), source })?;
-        Settings::parse(&text)
-    }
-
     /// Checks the text of a settings file.
     ///
     /// # Errors
--- a/crates/settings/tests/sessions.rs
+++ b/crates/settings/tests/sessions.rs
@@ -5,6 +5,7 @@
 use expect_test::Expect;
 use expect_test::expect;
 
+use settings::File;
 use settings::Settings;
 
 const ENTRY: &str = include_str!("data/entry.toml");
@@ -267,6 +268,6 @@
 
 #[test]
 fn a_missing_file_is_named() {
-    let error = Settings::load(Path::new("no/such/settings.toml")).unwrap_err();
+    let error = File::load(Path::new("no/such/settings.toml")).unwrap_err();
     expect![[r#"the settings file "no/such/settings.toml" can't be read (No such file or directory (os error 2)); check that it exists and is UTF-8"#]].assert_eq(&error.to_string());
 }
