Place parts by their hash alone and always name a copy's source

Reading 1,000 tokens again costs eight times what copying them does.

Change: the order of endpoints is a function of the part alone; the source of a copy is the first other endpoint of that order, named with each request.

--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -10,9 +10,6 @@
 use policy::occupancy::Occupancy;
 use policy::outlier::Outliers;
 use policy::outlier::Verdict;
-use policy::placement::Location;
-use policy::placement::Locations;
-use policy::placement::fingerprint;
 use route::Endpoint;
 use route::endpoint::State;
 
@@ -28,7 +25,7 @@
 /// which takes some milliseconds.
 const COPY_MIN_TOKENS: u32 = 512;
 
-/// The known endpoints, their occupancy and outlier ejection, and the cached prompt prefixes.
+/// The known endpoints, their occupancy and outlier ejection.
 #[derive(Debug, Default)]
 pub(crate) struct Endpoints {
     /// Whether all announcements have been read once.
@@ -39,8 +36,6 @@
     endpoints: Vec<Tracked>,
     /// Outlier ejection of each service, sorted by service.
     outliers: Vec<(Arc<str>, Outliers)>,
-    /// The endpoints that last computed prompt prefixes, and so have them cached.
-    locations: Locations,
 }
 
 /// An endpoint and what this gateway has observed of it.
@@ -112,11 +107,7 @@
             Some(probed) => probed,
             None => self.choose_best(criteria, now)?,
         };
-        let copy_from = self.copy_source(criteria, &endpoint, now);
-        if let Some(part) = criteria.part {
-            let last = Location { engine: fingerprint(&endpoint.id), home: 0 };
-            self.locations.record(part.id, last, now);
-        }
+        let copy_from = self.copy_source(criteria, &endpoint);
         self.update(&endpoint.id, |tracked| tracked.occupancy.record_sent());
         Some(Choice { endpoint, copy_from })
     }
@@ -187,11 +178,9 @@
                 is_far: *tracked.endpoint.centre != *criteria.centre,
             })
             .collect();
-        let last = criteria.part.and_then(|part| self.locations.locate(part.id, now));
         let query = choice::Query {
             part: criteria.part.map(|part| part.id),
             tokens: criteria.part.map_or(0, |part| part.tokens),
-            last: last.map(|last| last.engine),
             seed: criteria.seed,
         };
         let first = choice::order(&query, &candidates).into_iter().next()?;
@@ -211,26 +200,22 @@
         due.next().map(|tracked| Arc::clone(&tracked.endpoint))
     }
 
-    /// Returns the address of the endpoint that has the shared prompt prefix cached, if it
-    /// isn't the chosen one and a copy is worth it. An endpoint that is leaving still has the
-    /// prefix; one that fails may not.
-    fn copy_source(
-        &self,
-        criteria: &Criteria<'_>,
-        chosen: &Endpoint,
-        now: Duration,
-    ) -> Option<SocketAddr> {
+    /// Returns the address of another endpoint that is likely to have the shared prompt prefix
+    /// cached. An endpoint copies only what it lacks, so one that has the prefix copies nothing.
+    ///
+    /// An endpoint that is leaving still has the prefix; one that fails may not.
+    fn copy_source(&self, criteria: &Criteria<'_>, chosen: &Endpoint) -> Option<SocketAddr> {
         let part = criteria.part.filter(|part| part.tokens >= COPY_MIN_TOKENS)?;
-        let last = self.locations.locate(part.id, now)?.engine;
-        if last == fingerprint(&chosen.id) {
-            return None;
-        }
-        let source =
-            self.endpoints.iter().find(|tracked| fingerprint(&tracked.endpoint.id) == last)?;
-        let is_healthy = source.missing_until.is_none()
-            && !source.is_replaced
-            && !self.is_failing(&source.endpoint);
-        is_healthy.then_some(source.endpoint.address)
+        let is_source = |tracked: &&Tracked| {
+            tracked.endpoint.service == chosen.service
+                && tracked.missing_until.is_none()
+                && !tracked.is_replaced
+                && !self.is_failing(&tracked.endpoint)
+        };
+        let sources: Vec<&Tracked> = self.endpoints.iter().filter(is_source).collect();
+        let names: Vec<&str> = sources.iter().map(|tracked| &*tracked.endpoint.id).collect();
+        let source = choice::source(part.id, &chosen.id, &names)?;
+        Some(sources[source].endpoint.address)
     }
 
     fn outliers_of(&self, service: &str) -> Option<&Outliers> {
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -3,13 +3,15 @@
 //! An endpoint that has parts of a prompt cached reads the prompt faster, so
 //! requests that share a part prefer the same endpoints in the same order at
 //! every process (rendezvous hashing). An endpoint that has far more work than
-//! the others is skipped. See `docs/decisions/platform.md`.
+//! the others is skipped.
+//!
+//! The order depends only on the part and the endpoints' names. What a process
+//! has sent earlier is left out on purpose: each process of a large fleet sees
+//! few of a part's requests, and would scatter the part over other endpoints
+//! than the other processes do. See `docs/decisions/platform.md`.
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::placement::Fingerprint;
-use crate::placement::fingerprint;
-
 /// Endpoints are preferred for the reuse of short parts up to this multiple of
 /// the mean load. It is below the operators' load bound, since known loads lag.
 const SHORT_PART_LOAD_MULTIPLE: f64 = 1.4;
@@ -46,8 +48,6 @@
     pub part: Option<u64>,
     /// Its length, in tokens.
     pub tokens: u32,
-    /// The endpoint that read the part last, as far as this process knows.
-    pub last: Option<Fingerprint>,
     /// Random bits, which break ties between equally loaded endpoints.
     pub seed: u64,
 }
@@ -71,8 +71,18 @@
     order
 }
 
-/// Returns the endpoint that read the part last or, if it is too busy, the one
-/// with the highest hash score among those that are not.
+/// Returns the endpoint that a process may copy a part from for the endpoint
+/// `chosen`, as an index into `names`.
+///
+/// It is the one that most requests with the part are sent to, or the one that
+/// they were sent to before `chosen` was added. Returns `None` if there is no other.
+pub fn source(part: u64, chosen: &str, names: &[&str]) -> Option<usize> {
+    let others = (0..names.len()).filter(|index| names[*index] != chosen);
+    others.max_by_key(|index| affinity(names[*index], part))
+}
+
+/// Returns the endpoint with the highest affinity to the part among those that
+/// aren't too busy.
 fn preferred(query: &Query, candidates: &[Candidate<'_>]) -> Option<usize> {
     let part = query.part?;
     let total: f64 = candidates.iter().map(|candidate| candidate.requests).sum();
@@ -82,10 +92,13 @@
         + (LONG_PART_LOAD_MULTIPLE - SHORT_PART_LOAD_MULTIPLE) * long_fraction;
     let max_requests = mean * multiple + REUSE_SLACK_REQUESTS;
     let has_room = |index: &usize| candidates[*index].requests <= max_requests;
-    let is_last = |index: &usize| query.last == Some(fingerprint(candidates[*index].name));
-    let last = (0..candidates.len()).find(|index| is_last(index) && has_room(index));
-    let score = |index: &usize| xxh3_64_with_seed(candidates[*index].name.as_bytes(), part);
-    last.or_else(|| (0..candidates.len()).filter(has_room).max_by_key(score))
+    let score = |index: &usize| affinity(candidates[*index].name, part);
+    (0..candidates.len()).filter(has_room).max_by_key(score)
+}
+
+/// Returns the affinity of an endpoint to a part, the same at every process.
+fn affinity(name: &str, part: u64) -> u64 {
+    xxh3_64_with_seed(name.as_bytes(), part)
 }
 
 fn move_to_front(first: usize, order: &mut [usize]) {
