--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use gateway::Context;
+use gateway::Member;
 use gateway::Peers;
 use gateway::Routing;
 use ntex::rt::System;
@@ -53,7 +54,14 @@
     let admin = admin::start(settings.admin, source)?;
     let routing = Arc::new(Routing::default());
     ntex::rt::spawn(recorder.upkeep(stop_background.clone()));
-    let peers = Arc::new(Peers::new(Arc::clone(&routing), settings.seeds.clone()));
+    let member = Member {
+        vm: settings.vm.clone(),
+        centre: settings.centre.clone(),
+        address: settings.control,
+        capacity: settings.capacity,
+    };
+    let seeds = settings.seeds.clone();
+    let peers = Arc::new(Peers::new(Arc::clone(&routing), member, process::incarnation(), seeds));
     ntex::rt::spawn(answer_peers(settings.control, Arc::clone(&peers), stop_background.clone()));
     ntex::rt::spawn(sync_store(settings.clone(), peers, stop_background.clone()));
     ntex::rt::spawn(update_readiness(readiness, Arc::clone(&routing), stop.clone()));
@@ -69,9 +77,9 @@
 async fn sync_store(settings: Gateway, peers: Arc<Peers>, stop: CancellationToken) {
     let client = Client::new(settings.store);
     let following = gateway::follow(&Codec, &client, &peers, stop.clone());
-    let Gateway { vm, control, .. } = &settings;
-    let registering = gateway::register(&client, &peers, vm, *control, stop);
-    tokio::join!(following, registering);
+    let registering = gateway::register(&client, &peers, stop.clone());
+    let sharing = gateway::share_loads(&peers, stop);
+    tokio::join!(following, registering, sharing);
 }
 
 /// Answers peers' queries; a failure is logged and does not stop the gateway.
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -7,9 +7,12 @@
 use std::time::Duration;
 
 use policy::choice;
+use policy::exchange;
+use policy::exchange::Sheet;
 use policy::occupancy::Occupancy;
 use policy::outlier::Outliers;
 use policy::outlier::Verdict;
+use policy::popularity::Popularity;
 use route::Endpoint;
 use route::endpoint::State;
 
@@ -36,6 +39,8 @@
     endpoints: Vec<Tracked>,
     /// Outlier ejection of each service, sorted by service.
     outliers: Vec<(Arc<str>, Outliers)>,
+    /// How often parts of prompts were seen lately.
+    popularity: Popularity,
 }
 
 /// An endpoint and what this gateway has observed of it.
@@ -103,6 +108,9 @@
 
     /// Chooses the endpoint of a request, and counts the request as in flight there.
     pub(crate) fn choose(&mut self, criteria: &Criteria<'_>, now: Duration) -> Option<Choice> {
+        if let Some(part) = criteria.part {
+            self.popularity.record(part.id, now);
+        }
         let endpoint = match self.choose_probe(criteria, now) {
             Some(probed) => probed,
             None => self.choose_best(criteria, now)?,
@@ -122,6 +130,23 @@
         self.update(id, |tracked| tracked.occupancy.record_report(requests, now));
     }
 
+    /// Returns the requests that this gateway has in flight at endpoints.
+    pub(crate) fn own_loads(&self) -> Sheet {
+        let mut sheet = Sheet::default();
+        for tracked in &self.endpoints {
+            sheet.add(exchange::fingerprint(&tracked.endpoint.id), tracked.occupancy.own());
+        }
+        sheet
+    }
+
+    /// Records the requests that other gateways have at endpoints.
+    pub(crate) fn set_other_loads(&mut self, loads: &Sheet, now: Duration) {
+        for tracked in &mut self.endpoints {
+            let others = loads.requests(exchange::fingerprint(&tracked.endpoint.id));
+            tracked.occupancy.record_others(others, now);
+        }
+    }
+
     /// Marks an endpoint as replaced by another one at its address; it gets no more requests.
     pub(crate) fn set_replaced(&mut self, id: &str) {
         self.update(id, |tracked| tracked.is_replaced = true);
@@ -181,6 +206,7 @@
         let query = choice::Query {
             part: criteria.part.map(|part| part.id),
             tokens: criteria.part.map_or(0, |part| part.tokens),
+            share: criteria.part.map_or(0.0, |part| self.popularity.share(part.id, now)),
             seed: criteria.seed,
         };
         let first = choice::order(&query, &candidates).into_iter().next()?;
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
+use policy::relay::Duty;
 use rand::RngExt;
 use route::Dialect;
+use rpc::view::Cursor;
 use rpc::view::Snapshot;
 use services::Feed;
 use services::feed::Listing;
@@ -17,11 +19,17 @@
 use crate::Routing;
 use crate::peer;
 use crate::peer::Peers;
+use crate::peer::Relay;
+use crate::record;
 
 /// How long the store holds a call that waits for changes. A dead connection is noticed when
 /// this time is over, which is early enough for changes to be in force everywhere in time.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// The same while other gateways rely on this one to read the store. They notice that it has
+/// lost the store when its call fails, so it has to make calls more often.
+const RELAY_WATCH_TIMEOUT: Duration = Duration::from_millis(1_200);
+
 /// Pause after changes of endpoints, so that one call returns all changes of that time: each
 /// call of each process is charged. The limit is that an endpoint that is leaving must get no
 /// new requests two seconds later.
@@ -56,7 +64,8 @@
 ) {
     let routing = peers.routing();
     let prefix = dialect.table_prefix();
-    let table = Watcher { routing, dialect, feed, peers, prefix, kind: Kind::Table };
+    let relay = &Relay::default();
+    let table = Watcher { routing, dialect, feed, peers, relay, prefix, kind: Kind::Table };
     let endpoints =
         Watcher { prefix: dialect.endpoint_prefix(), kind: Kind::Endpoints, ..table.clone() };
     let sweep = async {
@@ -102,6 +111,7 @@
     dialect: &'a dyn Dialect,
     feed: &'a dyn Feed,
     peers: &'a Peers,
+    relay: &'a Relay,
     prefix: &'a str,
     kind: Kind,
 }
@@ -112,8 +122,14 @@
         let mut backoff = MIN_BACKOFF;
         let mut after_outage = false;
         let mut was_older = false;
+        let mut is_first = true;
         loop {
-            let listing = self.feed.scan(self.prefix).await;
+            // The changes after the listing follow at once, so the first one may be a little old.
+            let listing = match is_first {
+                true => self.feed.scan_cached(self.prefix).await,
+                false => self.feed.scan(self.prefix).await,
+            };
+            is_first = false;
             let is_older = listing.as_ref().is_ok_and(|listing| self.is_older(listing));
             match listing {
                 // A peer's newer snapshot may have been adopted during the call. If a second
@@ -128,7 +144,8 @@
                         keys = listing.entries.len(), after_outage; "read from the store");
                     self.apply_listing(&listing.entries, after_outage);
                     let version = listing.version;
-                    self.peers.mirror().replace(self.prefix, listing, self.routing.now());
+                    let now = self.routing.now();
+                    self.peers.update_mirror(|mirror| mirror.replace(self.prefix, listing, now));
                     let start = Instant::now();
                     after_outage = self.watch(version).await;
                     if start.elapsed() >= WATCH_TIMEOUT {
@@ -137,7 +154,7 @@
                 }
                 Err(error) => {
                     log::warn!(prefix = self.prefix; "the store can't be read: {error}");
-                    self.peers.mirror().set_lost(self.prefix);
+                    self.peers.update_mirror(|mirror| mirror.set_lost(self.prefix));
                     after_outage = true;
                 }
             }
@@ -158,12 +175,25 @@
     /// The caller has to read all keys again then, rather than watch again: a new watch may
     /// return nothing until its timeout.
     async fn watch(&self, mut version: u64) -> bool {
+        let mut is_relayed = false;
         loop {
-            match self.feed.changes(self.prefix, version, WATCH_TIMEOUT).await {
+            let after = Cursor { prefix: self.prefix.to_owned(), version };
+            let relayed = self.relay.changes(self.peers, &after).await;
+            if relayed.is_some() != is_relayed {
+                is_relayed = !is_relayed;
+                log::info!(prefix = self.prefix, version, is_relayed; "source of changes");
+            }
+            record::changes(is_relayed);
+            if let Some(relayed) = relayed {
+                version = relayed.change.version.max(version);
+                self.apply(&relayed.change, relayed.age);
+                continue;
+            }
+            let wait = self.watch_timeout();
+            match self.feed.changes(self.prefix, version, wait).await {
                 Ok(change) => {
                     version = change.version.max(version);
-                    self.apply_change(&change);
-                    self.peers.mirror().apply(self.prefix, &change, self.routing.now());
+                    self.apply(&change, Duration::ZERO);
                     if matches!(self.kind, Kind::Endpoints) && !change.is_empty() {
                         sleep(BATCH_PAUSE).await;
                     }
@@ -174,18 +204,32 @@
                 }
                 Err(error) => {
                     log::warn!(prefix = self.prefix, version; "the store is lost: {error}");
-                    self.peers.mirror().set_lost(self.prefix);
+                    self.peers.update_mirror(|mirror| mirror.set_lost(self.prefix));
                     return true;
                 }
             }
         }
     }
 
+    /// Returns how long the store may hold a call that waits for changes.
+    fn watch_timeout(&self) -> Duration {
+        if self.peers.is_relay(Duty::Store) { RELAY_WATCH_TIMEOUT } else { WATCH_TIMEOUT }
+    }
+
+    /// Applies changes that the store told some time ago.
+    fn apply(&self, change: &Change, age: Duration) {
+        self.apply_change(change);
+        let told = self.routing.now().saturating_sub(age);
+        self.peers.update_mirror(|mirror| mirror.apply(self.prefix, change, told));
+    }
+
     /// Applies a peer's snapshot if the keys are stale here and it is newer. Endpoints that it
     /// lacks are kept for a while, since their announcements may have lapsed during an outage
     /// of the store.
     fn adopt(&self, snapshot: &Snapshot) {
-        if !self.peers.mirror().adopt(snapshot) {
+        let mut is_adopted = false;
+        self.peers.update_mirror(|mirror| is_adopted = mirror.adopt(snapshot));
+        if !is_adopted {
             return;
         }
         let Listing { entries, version } = &snapshot.listing;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,8 +29,10 @@
 
 pub use context::Context;
 pub use feed::follow;
+pub use peer::Member;
 pub use peer::Mirror;
 pub use peer::Peers;
 pub use peer::register;
+pub use peer::share_loads;
 pub use routing::Routing;
 pub use server::serve_on;
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -1,14 +1,23 @@
-//! Peer snapshots: gateways that can't read the store get its keys from other gateways.
+//! What gateways tell each other: keys of the store and loads of endpoints.
 //!
 //! Each gateway keeps the keys of the store as it last read them, and registers the address
-//! at which peers can ask for them. `docs/decisions/platform.md` has the design.
+//! at which peers can ask for them. `docs/decisions/relays.md` has the design, and
+//! `docs/decisions/platform.md` what happens while the store turns gateways away.
 
+mod exchange;
 mod fetch;
+mod loads;
+mod member;
 mod mirror;
 mod peers;
 mod registration;
+mod relay;
 
+pub(crate) use exchange::Exchange;
 pub(crate) use fetch::fetch;
+pub use loads::share_loads;
+pub use member::Member;
 pub use mirror::Mirror;
 pub use peers::Peers;
 pub use registration::register;
+pub(crate) use relay::Relay;
--- /dev/null
+++ b/crates/gateway/src/peer/loads.rs
@@ -0,0 +1,131 @@
+//! Exchanges loads of endpoints with other gateways.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use parking_lot::Mutex;
+use policy::relay::Duty;
+use rand::RngExt;
+use rpc::Error;
+use rpc::view::Client;
+use rpc::view::Loads;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+use crate::peer::Member;
+use crate::peer::Peers;
+use crate::record;
+
+/// Interval between reports. In this time an endpoint gets some three requests at the most loaded
+/// of the known deployments, so loads are known to within that.
+const REPORT_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Interval between checks whether other gateways are known yet.
+const START_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Time limit for an answer: several round trips between data centres.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Exchanges loads with the other gateways until cancelled.
+///
+/// A gateway reports to the gateway of its data centre that adds up loads. Gateways that add up
+/// loads exchange their sums with each other.
+pub async fn share_loads(peers: &Peers, cancel: CancellationToken) {
+    let sharing = Sharing { peers, connections: Mutex::default() };
+    let exchange = async {
+        // The first report is sent as soon as there is anyone to report to.
+        while peers.hubs().is_empty() {
+            sleep(START_POLL_INTERVAL).await;
+        }
+        loop {
+            sharing.exchange().await;
+            // The jitter keeps the gateways from reporting in step.
+            sleep(REPORT_INTERVAL.mul_f64(rand::rng().random_range(0.9..1.1))).await;
+        }
+    };
+    cancel.run_until_cancelled(exchange).await;
+}
+
+/// The open connections to the gateways with which loads are exchanged.
+struct Sharing<'a> {
+    peers: &'a Peers,
+    /// Sorted by VM.
+    connections: Mutex<Vec<(String, Arc<Client>)>>,
+}
+
+impl Sharing<'_> {
+    /// Reports this gateway's requests, and learns those of the others.
+    async fn exchange(&self) {
+        let peers = self.peers;
+        for hub in peers.relays(Duty::Loads) {
+            match self.report(&hub).await {
+                Ok(loads) => return self.apply(&loads),
+                Err(error) => self.failed(&hub, &error),
+            }
+        }
+        // This gateway adds up loads, or does so for the moment since those that should failed.
+        let hubs = peers.hubs();
+        let own = peers.own();
+        // The answer to a report is the other one's report, so one of two gateways calls.
+        let called = hubs.iter().filter(|hub| own.vm < hub.vm);
+        join_all(called.map(|hub| self.swap(hub))).await;
+        let others = peers.exchange().others(peers.routing().now());
+        self.apply(&others);
+    }
+
+    /// Reports to a gateway that adds up loads; returns the loads of all others.
+    async fn report(&self, hub: &Member) -> Result<Loads, Error> {
+        let routing = self.peers.routing();
+        let report = self.peers.exchange().next_report(routing.own_loads(), routing.now());
+        self.client(hub).await?.report(&report, ANSWER_TIMEOUT).await
+    }
+
+    /// Exchanges sums with another gateway that adds up loads.
+    async fn swap(&self, hub: &Member) {
+        let routing = self.peers.routing();
+        let report = self.peers.exchange().next_report(routing.own_loads(), routing.now());
+        let swapped = async { self.client(hub).await?.swap(&report, ANSWER_TIMEOUT).await };
+        match swapped.await {
+            Ok(report) => {
+                self.peers.exchange().record_hub(report, routing.now());
+            }
+            Err(error) => self.failed(hub, &error),
+        }
+    }
+
+    /// Uses the loads of the other gateways for the choice of endpoints.
+    fn apply(&self, loads: &Loads) {
+        record::known_loads(loads.gateways);
+        self.peers.routing().set_other_loads(&loads.sheet, loads.gateways);
+    }
+
+    fn failed(&self, hub: &Member, error: &Error) {
+        log::info!(peer = hub.vm.as_str(); "loads are not exchanged: {error}");
+        self.connections.lock().retain(|(vm, _)| *vm != hub.vm);
+        self.peers.relay_failed(Duty::Loads, &hub.vm);
+    }
+
+    /// Returns the open connection to a gateway, or opens one.
+    async fn client(&self, hub: &Member) -> Result<Arc<Client>, Error> {
+        let find = |connections: &[(String, Arc<Client>)]| {
+            connections.binary_search_by(|(vm, _)| vm.as_str().cmp(&hub.vm))
+        };
+        {
+            let mut connections = self.connections.lock();
+            if let Ok(index) = find(&connections) {
+                if connections[index].1.is_connected() {
+                    return Ok(Arc::clone(&connections[index].1));
+                }
+                connections.remove(index);
+            }
+        }
+        let client = Arc::new(Client::connect(hub.address, ANSWER_TIMEOUT).await?);
+        let mut connections = self.connections.lock();
+        match find(&connections) {
+            Ok(index) => connections[index].1 = Arc::clone(&client),
+            Err(index) => connections.insert(index, (hub.vm.clone(), Arc::clone(&client))),
+        }
+        Ok(client)
+    }
+}
--- a/crates/gateway/src/peer/mirror.rs
+++ b/crates/gateway/src/peer/mirror.rs
@@ -1,8 +1,10 @@
 //! Local copy of the store's keys.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use rpc::view::Cursor;
+use rpc::view::Delta;
 use rpc::view::Snapshot;
 use services::feed::Listing;
 use services::store::Change;
@@ -11,7 +13,10 @@
 /// and its answer is waited for one second longer.
 const CURRENT_MAX_AGE: Duration = Duration::from_secs(5);
 
-/// Local copy of the store's keys, from which peers that can't read the store are answered.
+/// Most removals of keys that are remembered. Peers that lag further behind read all keys again.
+const MAX_REMOVALS: usize = 1_024;
+
+/// Local copy of the store's keys, from which peers that don't read the store are answered.
 #[derive(Debug, Clone, Default)]
 pub struct Mirror {
     /// Sorted by prefix.
@@ -23,6 +28,10 @@
 struct Subtree {
     prefix: String,
     listing: Listing,
+    /// Version after which all removals are known.
+    complete_after: u64,
+    /// Keys that were removed lately, each with a version of the store at which it was gone.
+    removals: VecDeque<(u64, String)>,
     /// When the store last answered; `None` if it never did.
     last_answer: Option<Duration>,
     /// Whether the last call of the store failed.
@@ -40,7 +49,7 @@
     /// Replaces all keys under a prefix by those read from the store.
     pub fn replace(&mut self, prefix: &str, listing: Listing, now: Duration) {
         let subtree = self.subtree(prefix);
-        subtree.listing = listing;
+        subtree.set_listing(listing);
         subtree.last_answer = Some(now);
         subtree.is_lost = false;
     }
@@ -59,6 +68,19 @@
             }
         }
         entries.retain(|entry| !change.removed.contains(&entry.key));
+        let version = *version;
+        subtree.removals.extend(change.removed.iter().map(|key| (version, key.clone())));
+        while subtree.removals.len() > MAX_REMOVALS {
+            if let Some((version, _)) = subtree.removals.pop_front() {
+                subtree.complete_after = version;
+            }
+        }
+    }
+
+    /// Returns the changes under a prefix after a version.
+    pub fn delta(&self, after: &Cursor, now: Duration) -> Delta {
+        let Ok(index) = self.find(&after.prefix) else { return Delta::Unknown };
+        self.subtrees[index].delta(after.version, now)
     }
 
     /// Records that a call of the store failed.
@@ -72,7 +94,7 @@
         let subtree = self.subtree(&snapshot.prefix);
         let is_newer = subtree.is_stale() && snapshot.listing.version > subtree.listing.version;
         if is_newer {
-            subtree.listing = snapshot.listing.clone();
+            subtree.set_listing(snapshot.listing.clone());
         }
         is_newer
     }
@@ -133,6 +155,34 @@
 }
 
 impl Subtree {
+    /// Replaces all keys. What was removed between the old and the new ones isn't known.
+    fn set_listing(&mut self, listing: Listing) {
+        self.complete_after = listing.version;
+        self.removals.clear();
+        self.listing = listing;
+    }
+
+    /// Returns the changes after a version.
+    fn delta(&self, after: u64, now: Duration) -> Delta {
+        let Some(last_answer) = self.last_answer.filter(|_| !self.is_lost) else {
+            return Delta::Lost;
+        };
+        let Listing { entries, version } = &self.listing;
+        // A version that this copy has not reached yet may have further removals.
+        if after < self.complete_after {
+            return Delta::Unknown;
+        }
+        let is_written =
+            |key: &str| entries.binary_search_by(|entry| entry.key.as_str().cmp(key)).is_ok();
+        let removals = self.removals.iter().filter(|(at, key)| *at > after && !is_written(key));
+        let change = Change {
+            version: (*version).max(after),
+            entries: entries.iter().filter(|entry| entry.version > after).cloned().collect(),
+            removed: removals.map(|(_, key)| key.clone()).collect(),
+        };
+        Delta::Changes { change, age: now.saturating_sub(last_answer) }
+    }
+
     /// Whether the last call of the store failed or the store has not answered yet.
     fn is_stale(&self) -> bool {
         self.is_lost || self.last_answer.is_none()
--- a/crates/gateway/src/peer/peers.rs
+++ b/crates/gateway/src/peer/peers.rs
@@ -1,44 +1,97 @@
-//! Addresses of other gateways, and answers to their queries.
+//! What a gateway knows of the others, and the answers to their calls.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
 use parking_lot::Mutex;
 use parking_lot::MutexGuard;
+use policy::exchange::Report;
+use policy::relay::Candidate;
+use policy::relay::Duty;
+use policy::relay::Failures;
+use policy::relay::Order;
 use rpc::view::Answer;
 use rpc::view::Cursor;
+use rpc::view::Delta;
+use rpc::view::Loads;
 use rpc::view::Source;
+use tokio::sync::watch;
+use tokio::time::timeout;
 
 use crate::Routing;
+use crate::peer::Exchange;
+use crate::peer::Member;
 use crate::peer::Mirror;
 
 /// Most addresses of other peers in an answer, so that it stays small in a large fleet.
 const MAX_ADDRESSES: usize = 8;
 
-/// Addresses of other gateways, and the local copy of the store's keys that answers their queries.
+/// The other gateways, the local copy of the store's keys that answers their calls, and their
+/// loads.
 ///
-/// Lock order: `registered`, then `mirror`. No lock is held across an await.
-#[derive(Debug, Default)]
+/// Lock order: `registered`, `members`, `store_failures`, `load_failures`, `mirror`, `exchange`.
+/// No lock is held across an await.
+#[derive(Debug)]
 pub struct Peers {
+    own: Member,
     /// Configured addresses of peers; some of the peers may no longer exist.
     seeds: Vec<SocketAddr>,
     /// Addresses of the other gateways that are registered in the store.
     registered: Mutex<Vec<SocketAddr>>,
+    /// The gateways that are registered with their properties, including this one.
+    members: Mutex<Vec<Member>>,
+    /// Relays that failed lately to tell changes of the store.
+    store_failures: Mutex<Failures>,
+    /// Relays that failed lately to exchange loads.
+    load_failures: Mutex<Failures>,
     mirror: Mutex<Mirror>,
+    exchange: Mutex<Exchange>,
+    /// Signals changes of the mirror.
+    changed: watch::Sender<()>,
     routing: Arc<Routing>,
 }
 
 impl Peers {
     /// Creates a value that knows only the configured addresses.
-    pub fn new(routing: Arc<Routing>, seeds: Vec<SocketAddr>) -> Peers {
-        Peers { seeds, routing, ..Peers::default() }
+    ///
+    /// `incarnation` is the start of this process in Unix milliseconds.
+    pub fn new(
+        routing: Arc<Routing>,
+        own: Member,
+        incarnation: u64,
+        seeds: Vec<SocketAddr>,
+    ) -> Peers {
+        Peers {
+            seeds,
+            registered: Mutex::default(),
+            members: Mutex::new(vec![own.clone()]),
+            store_failures: Mutex::new(Failures::new(Duty::Store)),
+            load_failures: Mutex::new(Failures::new(Duty::Loads)),
+            mirror: Mutex::default(),
+            exchange: Mutex::new(Exchange::new(&own.vm, incarnation)),
+            changed: watch::Sender::default(),
+            own,
+            routing,
+        }
     }
 
-    /// Sets the addresses of the other gateways that are registered in the store.
-    pub fn set_registered(&self, registered: Vec<SocketAddr>) {
+    /// Sets the addresses and the properties of the other gateways that are registered in the
+    /// store. Those of builds that register no properties have only an address.
+    pub fn set_registered(&self, registered: Vec<SocketAddr>, mut members: Vec<Member>) {
         let others = u32::try_from(registered.len()).unwrap_or(u32::MAX);
         self.routing.set_gateways(others.saturating_add(1));
         *self.registered.lock() = registered;
+        members.push(self.own.clone());
+        members.sort_unstable_by(|left, right| left.vm.cmp(&right.vm));
+        *self.members.lock() = members;
+    }
+
+    /// Returns this gateway.
+    pub(crate) fn own(&self) -> &Member {
+        &self.own
     }
 
     /// Returns all addresses at which a peer may be found, sorted.
@@ -50,15 +103,94 @@
         all
     }
 
+    /// Returns the relays that this gateway asks for a duty, without those that failed lately;
+    /// empty if it does the duty itself.
+    pub(crate) fn relays(&self, duty: Duty) -> Vec<Member> {
+        let members = self.members.lock();
+        let candidates: Vec<Candidate<'_>> = members.iter().map(Member::candidate).collect();
+        let order = Order::new(duty, &self.own.centre, &candidates);
+        let asked = order.asked_by(&self.own.vm, &candidates);
+        let failures = self.failures(duty).lock();
+        let now = self.routing.now();
+        let is_allowed = |index: &usize| failures.allows(&members[*index].vm, now);
+        asked.into_iter().filter(is_allowed).map(|index| members[index].clone()).collect()
+    }
+
+    /// Whether other gateways of the data centre rely on this one for a duty.
+    pub(crate) fn is_relay(&self, duty: Duty) -> bool {
+        let members = self.members.lock();
+        let candidates: Vec<Candidate<'_>> = members.iter().map(Member::candidate).collect();
+        let order = Order::new(duty, &self.own.centre, &candidates);
+        let mut serving = order.relays().iter().copied().chain(order.standby());
+        order.standby().is_some() && serving.any(|index| members[index].vm == self.own.vm)
+    }
+
+    /// Returns the gateways that add up loads, without this one. Where one failed lately, its
+    /// standby is returned as well.
+    pub(crate) fn hubs(&self) -> Vec<Member> {
+        let members = self.members.lock();
+        let candidates: Vec<Candidate<'_>> = members.iter().map(Member::candidate).collect();
+        let mut centres: Vec<&str> = candidates.iter().map(|member| member.centre).collect();
+        centres.sort_unstable();
+        centres.dedup();
+        let failures = self.load_failures.lock();
+        let now = self.routing.now();
+        let is_allowed = |index: &usize| failures.allows(&members[*index].vm, now);
+        let mut hubs = Vec::new();
+        for centre in centres {
+            let order = Order::new(Duty::Loads, centre, &candidates);
+            let has_failed = !order.relays().iter().all(is_allowed);
+            let standby = order.standby().filter(|_| has_failed);
+            hubs.extend(order.relays().iter().copied().chain(standby).filter(is_allowed));
+        }
+        hubs.retain(|index| members[*index].vm != self.own.vm);
+        hubs.into_iter().map(|index| members[index].clone()).collect()
+    }
+
+    /// Records that a relay failed to do a duty.
+    pub(crate) fn relay_failed(&self, duty: Duty, vm: &str) {
+        self.failures(duty).lock().record(vm, self.routing.now());
+    }
+
     /// Locks and returns the local copy of the store's keys.
     pub(crate) fn mirror(&self) -> MutexGuard<'_, Mirror> {
         self.mirror.lock()
     }
 
+    /// Changes the local copy of the store's keys, and answers peers that wait for changes.
+    pub(crate) fn update_mirror(&self, change: impl FnOnce(&mut Mirror)) {
+        change(&mut self.mirror.lock());
+        self.changed.send_replace(());
+    }
+
+    /// Locks and returns the loads of the other gateways.
+    pub(crate) fn exchange(&self) -> MutexGuard<'_, Exchange> {
+        self.exchange.lock()
+    }
+
     /// Returns the configuration and the endpoints of this gateway.
     pub(crate) fn routing(&self) -> &Routing {
         &self.routing
     }
+
+    fn failures(&self, duty: Duty) -> &Mutex<Failures> {
+        match duty {
+            Duty::Store => &self.store_failures,
+            Duty::Loads => &self.load_failures,
+        }
+    }
+
+    /// Returns the next changes under a prefix, however long they take.
+    async fn next_changes(&self, after: &Cursor) -> Delta {
+        let mut changed = self.changed.subscribe();
+        loop {
+            let delta = self.mirror.lock().delta(after, self.routing.now());
+            let is_quiet = matches!(&delta, Delta::Changes { change, .. } if change.is_empty());
+            if !is_quiet || changed.changed().await.is_err() {
+                return delta;
+            }
+        }
+    }
 }
 
 impl Source for Peers {
@@ -73,4 +205,24 @@
             peers,
         }
     }
+
+    fn changes(&self, after: Cursor, wait: Duration) -> BoxFuture<'_, Delta> {
+        let changes = async move {
+            match timeout(wait, self.next_changes(&after)).await {
+                Ok(delta) => delta,
+                Err(_) => self.mirror.lock().delta(&after, self.routing.now()),
+            }
+        };
+        changes.boxed()
+    }
+
+    fn report(&self, report: Report) -> Option<Loads> {
+        let own = self.routing.own_loads();
+        self.exchange.lock().take_member(report, &own, self.routing.now())
+    }
+
+    fn swap(&self, report: Report) -> Option<Report> {
+        let own = self.routing.own_loads();
+        self.exchange.lock().take_hub(report, own, self.routing.now())
+    }
 }
--- a/crates/gateway/src/peer/registration.rs
+++ b/crates/gateway/src/peer/registration.rs
@@ -5,6 +5,7 @@
 
 use services::Store;
 use services::store::Commit;
+use services::store::Entry;
 use services::store::Error;
 use services::store::Lease;
 use services::store::Outcome;
@@ -12,10 +13,18 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
+use crate::peer::Member;
 use crate::peer::Peers;
 
-/// Prefix of the keys of registrations.
-const KEY_PREFIX: &str = "lycheeknot/gateways/";
+/// Prefix of all keys of registrations.
+const PREFIX: &str = "lycheeknot/";
+
+/// Prefix of the keys that hold only an address. Builds before [`MEMBER_PREFIX`] read
+/// nothing else, and would spend more retries if they counted too few gateways.
+const ADDRESS_PREFIX: &str = "lycheeknot/gateways/";
+
+/// Prefix of the keys that hold a [`Member`].
+const MEMBER_PREFIX: &str = "lycheeknot/members/";
 
 /// Time to live of a registration, in seconds. The registration of a gateway that no longer
 /// runs does no harm until then: its address just doesn't answer.
@@ -24,25 +33,17 @@
 /// Interval between renewals of the lease. Two in a row may fail before it expires.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(20);
 
-/// First interval between lookups of the other gateways, while the whole fleet may be starting.
-/// It doubles up to [`MAX_LOOKUP_INTERVAL`].
-const MIN_LOOKUP_INTERVAL: Duration = Duration::from_secs(2);
+/// Interval between the first lookups of the other gateways, while the whole fleet may be
+/// starting. It doubles up to [`MAX_LOOKUP_INTERVAL`].
+const MIN_LOOKUP_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Longest interval between lookups. With 360 registrations of 100 bytes they take 0.3 KB per
+/// Longest interval between lookups. With 360 registrations of 250 bytes they take 1.5 KB per
 /// second, of the 2 KB per second allowed for control traffic (`docs/CAPACITY.md`).
-const MAX_LOOKUP_INTERVAL: Duration = Duration::from_secs(120);
+const MAX_LOOKUP_INTERVAL: Duration = Duration::from_secs(60);
 
 /// Keeps a gateway registered in the store and looks up the other gateways until cancelled.
-///
-/// `vm` names the gateway; `address` is the one at which peers can query it.
-pub async fn register(
-    store: &dyn Store,
-    peers: &Peers,
-    vm: &str,
-    address: SocketAddr,
-    cancel: CancellationToken,
-) {
-    let registration = Registration { store, key: format!("{KEY_PREFIX}{vm}"), address };
+pub async fn register(store: &dyn Store, peers: &Peers, cancel: CancellationToken) {
+    let registration = Registration { store, member: peers.own() };
     let all = async { tokio::join!(registration.keep_renewed(), registration.follow_peers(peers)) };
     cancel.run_until_cancelled(all).await;
 }
@@ -50,8 +51,7 @@
 /// The registration of this gateway in the store.
 struct Registration<'a> {
     store: &'a dyn Store,
-    key: String,
-    address: SocketAddr,
+    member: &'a Member,
 }
 
 impl Registration<'_> {
@@ -64,14 +64,20 @@
         }
     }
 
-    /// Looks up the other gateways at increasing intervals.
+    /// Looks up the other gateways at increasing intervals, the first time at once.
     async fn follow_peers(&self, peers: &Peers) {
         let mut interval = MIN_LOOKUP_INTERVAL;
         loop {
-            sleep(interval).await;
-            match self.look_up(peers).await {
-                Ok(()) => interval = (interval * 2).min(MAX_LOOKUP_INTERVAL),
-                Err(error) => log::info!("peers can't be looked up: {error}"),
+            match self.store.list_cached(PREFIX).await {
+                Ok(entries) => {
+                    set_peers(peers, &entries);
+                    sleep(interval).await;
+                    interval = (interval * 2).min(MAX_LOOKUP_INTERVAL);
+                }
+                Err(error) => {
+                    log::info!("peers can't be looked up: {error}");
+                    sleep(interval).await;
+                }
             }
         }
     }
@@ -81,13 +87,13 @@
     /// Returns the lease; `None` if the registration failed. If the store doesn't answer a
     /// renewal, the lease may still be valid and is returned.
     async fn renew(&self, lease: Option<Lease>) -> Option<Lease> {
+        let vm = self.member.vm.as_str();
         if let Some(lease) = lease {
             match self.store.renew(lease).await {
                 Ok(true) => return Some(lease),
-                Ok(false) => log::info!(key = self.key.as_str(); "the registration expired"),
+                Ok(false) => log::info!(vm; "the registration expired"),
                 Err(error) => {
-                    log::info!(key = self.key.as_str();
-                        "the registration was not renewed: {error}");
+                    log::info!(vm; "the registration was not renewed: {error}");
                     return Some(lease);
                 }
             }
@@ -98,26 +104,44 @@
 
     /// Writes the registration under a new lease.
     async fn register(&self) -> Result<Lease, Error> {
+        let Member { vm, address, .. } = self.member;
+        let member = serde_json::to_vec(self.member)
+            .map_err(|error| Error::Protocol(format!("a member can't be encoded: {error}")))?;
         let lease = self.store.grant(LEASE_TTL_S).await?;
-        let value = self.address.to_string().into_bytes();
-        let put = Put { key: self.key.clone(), value, lease: Some(lease) };
-        let write = Commit { puts: vec![put], ..Commit::default() };
-        match self.store.commit(&write).await? {
+        let put =
+            |prefix: &str, value| Put { key: format!("{prefix}{vm}"), value, lease: Some(lease) };
+        let address = address.to_string().into_bytes();
+        let puts = vec![put(ADDRESS_PREFIX, address), put(MEMBER_PREFIX, member)];
+        match self.store.commit(&Commit { puts, ..Commit::default() }).await? {
             Outcome::Written(_) => Ok(lease),
             Outcome::Conflict => Err(Error::Protocol(
                 "the lease ended before the registration was written".to_owned(),
             )),
         }
     }
+}
 
-    /// Reads the addresses of the other gateways.
-    async fn look_up(&self, peers: &Peers) -> Result<(), Error> {
-        let entries = self.store.list(KEY_PREFIX).await?;
-        let address = |value: &[u8]| std::str::from_utf8(value).ok()?.parse().ok();
-        let all: Vec<SocketAddr> =
-            entries.iter().filter_map(|entry| address(&entry.value)).collect();
-        let others = all.into_iter().filter(|address| *address != self.address);
-        peers.set_registered(others.collect());
-        Ok(())
-    }
+/// Tells `peers` the gateways that are registered.
+fn set_peers(peers: &Peers, entries: &[Entry]) {
+    let own = peers.own();
+    let mut members: Vec<Member> = entries.iter().filter_map(member).collect();
+    members.retain(|member| member.vm != own.vm);
+    let addresses = entries.iter().filter_map(address);
+    let others: Vec<SocketAddr> = addresses.filter(|address| *address != own.address).collect();
+    peers.set_registered(others, members);
+}
+
+/// Decodes the entry of a member; `None` if it is none or can't be decoded.
+fn member(entry: &Entry) -> Option<Member> {
+    entry.key.strip_prefix(MEMBER_PREFIX)?;
+    let decoded = serde_json::from_slice(&entry.value);
+    decoded
+        .inspect_err(|error| log::warn!(key = entry.key.as_str(); "a member is malformed: {error}"))
+        .ok()
+}
+
+/// Decodes the entry of an address; `None` if it is none or can't be decoded.
+fn address(entry: &Entry) -> Option<SocketAddr> {
+    entry.key.strip_prefix(ADDRESS_PREFIX)?;
+    std::str::from_utf8(&entry.value).ok()?.parse().ok()
 }
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -3,6 +3,7 @@
 //! `docs/METRICS.md` lists the metrics.
 
 use metrics::counter;
+use metrics::gauge;
 use metrics::histogram;
 use route::Endpoint;
 use route::Version;
@@ -114,6 +115,17 @@
     .increment(1);
 }
 
+/// Counts a call for changes of the store's keys.
+pub(crate) fn changes(is_relayed: bool) {
+    let source = if is_relayed { "relay" } else { "store" };
+    counter!("lycheeknot_gateway_feed_calls_total", "source" => source).increment(1);
+}
+
+/// Records of how many other gateways the loads are known.
+pub(crate) fn known_loads(gateways: u32) {
+    gauge!("lycheeknot_gateway_loads_known").set(f64::from(gateways));
+}
+
 /// Increments the count of requests.
 fn count(service: &str, account: &str, outcome: &'static str) {
     counter!("lycheeknot_gateway_requests_total", "service" => service.to_owned(),
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -10,6 +10,7 @@
 
 use parking_lot::Mutex;
 use parking_lot::RwLock;
+use policy::exchange::Sheet;
 use route::Endpoint;
 use route::Table;
 use route::reply::Load;
@@ -135,6 +136,23 @@
         self.endpoints.lock().record_load(id, requests, self.now());
     }
 
+    /// Returns the requests that this gateway has in flight at endpoints.
+    pub(crate) fn own_loads(&self) -> Sheet {
+        self.endpoints.lock().own_loads()
+    }
+
+    /// Sets the requests that other gateways have at endpoints, and the number of these gateways.
+    ///
+    /// Loads of few gateways are ignored: endpoints would look idle that are not.
+    pub(crate) fn set_other_loads(&self, loads: &Sheet, gateways: u32) {
+        let others = self.gateways().saturating_sub(1);
+        if gateways.saturating_mul(2) < others {
+            log::debug!(gateways, others; "loads of too few gateways are known");
+            return;
+        }
+        self.endpoints.lock().set_other_loads(loads, self.now());
+    }
+
     /// Marks an endpoint as replaced by another one at its address.
     pub(crate) fn set_replaced(&self, id: &str) {
         self.endpoints.lock().set_replaced(id);
--- a/crates/gateway/tests/feed.rs
+++ b/crates/gateway/tests/feed.rs
@@ -5,6 +5,7 @@
 
 use std::cell::RefCell;
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -23,6 +24,7 @@
 
 use crate::entries::announced;
 use crate::entries::entry;
+use crate::entries::member;
 use crate::entries::table;
 
 /// A store with scripted answers. A call that has no answer left waits forever.
@@ -103,7 +105,8 @@
         sleep(duration).await;
         cancel.cancel();
     };
-    let peers = Peers::new(Arc::clone(routing), Vec::new());
+    let own = member("g1", SocketAddr::from(([127, 0, 0, 1], 1)));
+    let peers = Peers::new(Arc::clone(routing), own, 1, Vec::new());
     tokio::join!(gateway::follow(&Codec, &script, &peers, cancel.clone()), end);
     let shown = |endpoint: &route::Endpoint| format!("{} {:?}", endpoint.id, endpoint.state);
     routing.endpoints().iter().map(|endpoint| shown(endpoint)).collect()
@@ -177,7 +180,8 @@
         sleep(TWO_BATCHES).await;
         cancel.cancel();
     };
-    let peers = Peers::new(Arc::clone(&routing), Vec::new());
+    let own = member("g1", SocketAddr::from(([127, 0, 0, 1], 1)));
+    let peers = Peers::new(Arc::clone(&routing), own, 1, Vec::new());
     tokio::join!(gateway::follow(&Codec, &script, &peers, cancel.clone()), end);
     assert_eq!(routing.table().version(), 7);
 }
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -28,6 +28,7 @@
 
 use crate::entries::announced;
 use crate::entries::entry;
+use crate::entries::member;
 use crate::entries::table;
 
 /// A store with a configuration and one endpoint, `e` with the version.
@@ -105,10 +106,11 @@
 async fn a_gateway_that_the_store_turns_away_follows_its_peers() {
     let address = free_address();
     let (available, unavailable) = (Store::at(Some(3)), Store::at(None));
-    let source_peers = Arc::new(Peers::new(Arc::default(), Vec::new()));
+    let source_peers = Arc::new(Peers::new(Arc::default(), member("g1", address), 1, Vec::new()));
     let routing = Arc::<Routing>::default();
     // Nothing listens at one of the seeds, as on the platform, where some are out of date.
-    let peers = Peers::new(Arc::clone(&routing), vec![free_address(), address]);
+    let own = member("g2", free_address());
+    let peers = Peers::new(Arc::clone(&routing), own, 1, vec![free_address(), address]);
     let cancel = CancellationToken::new();
     let scenario = async {
         wait_until(&routing, "3 e3").await;
@@ -144,9 +146,10 @@
 async fn a_gateway_that_starts_during_an_outage_adopts_the_snapshots_of_its_peers() {
     let address = free_address();
     let (available, unavailable) = (Store::at(Some(3)), Store::at(None));
-    let source_peers = Arc::new(Peers::new(Arc::default(), Vec::new()));
+    let source_peers = Arc::new(Peers::new(Arc::default(), member("g1", address), 1, Vec::new()));
     let routing = Arc::<Routing>::default();
-    let peers = Peers::new(Arc::clone(&routing), vec![address]);
+    let own = member("g2", free_address());
+    let peers = Peers::new(Arc::clone(&routing), own, 1, vec![address]);
     let cancel = CancellationToken::new();
     let scenario = async {
         sleep(Duration::from_millis(200)).await;
--- a/crates/gateway/tests/support/entries.rs
+++ b/crates/gateway/tests/support/entries.rs
@@ -1,5 +1,8 @@
 //! Entries of the store as operators and endpoints write them.
 
+use std::net::SocketAddr;
+
+use gateway::Member;
 use services::store::Entry;
 
 /// Returns an entry with this key and value.
@@ -23,3 +26,8 @@
     );
     entry("op/config", &value)
 }
+
+/// Returns a gateway of the data centre `a` that peers call at this address.
+pub fn member(vm: &str, address: SocketAddr) -> Member {
+    Member { vm: vm.to_owned(), centre: "a".to_owned(), address, capacity: 1_000 }
+}
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -10,6 +10,8 @@
 //! few of a part's requests, and would scatter the part over other endpoints
 //! than the other processes do. See `docs/decisions/platform.md`.
 
+use std::cmp::Reverse;
+
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Endpoints are preferred for the reuse of short parts up to this multiple of
@@ -26,6 +28,10 @@
 /// Requests allowed above the multiple, so that idle services reuse parts too.
 const REUSE_SLACK_REQUESTS: f64 = 2.5;
 
+/// Requests with one part are spread over so many endpoints that they add at most this multiple of
+/// the mean load to each.
+const MAX_SHARE_OF_MEAN: f64 = 0.5;
+
 /// An endpoint in another data centre counts as this many requests busier, which
 /// breaks ties between equally loaded endpoints.
 const FAR_PENALTY_REQUESTS: f64 = 0.5;
@@ -48,6 +54,8 @@
     pub part: Option<u64>,
     /// Its length, in tokens.
     pub tokens: u32,
+    /// Share of the service's requests that have the part, from 0 to 1.
+    pub share: f64,
     /// Random bits, which break ties between equally loaded endpoints.
     pub seed: u64,
 }
@@ -82,7 +90,7 @@
 }
 
 /// Returns the endpoint with the highest affinity to the part among those that
-/// aren't too busy.
+/// aren't too busy. A popular part has several endpoints, one of which is drawn.
 fn preferred(query: &Query, candidates: &[Candidate<'_>]) -> Option<usize> {
     let part = query.part?;
     let total: f64 = candidates.iter().map(|candidate| candidate.requests).sum();
@@ -92,8 +100,23 @@
         + (LONG_PART_LOAD_MULTIPLE - SHORT_PART_LOAD_MULTIPLE) * long_fraction;
     let max_requests = mean * multiple + REUSE_SLACK_REQUESTS;
     let has_room = |index: &usize| candidates[*index].requests <= max_requests;
-    let score = |index: &usize| affinity(candidates[*index].name, part);
-    (0..candidates.len()).filter(has_room).max_by_key(score)
+    let mut ranked: Vec<usize> = (0..candidates.len()).collect();
+    ranked.sort_by_cached_key(|index| Reverse(affinity(candidates[*index].name, part)));
+    let replicas = replicas(query.share, candidates.len(), total).min(ranked.len());
+    ranked[..replicas].rotate_left((query.seed % replicas.max(1) as u64) as usize);
+    ranked.into_iter().find(has_room)
+}
+
+/// Returns the number of endpoints among which the requests of a part are spread.
+///
+/// `requests` is the number of all requests in flight. While a part has no more than one of
+/// them, one endpoint can take it.
+fn replicas(share: f64, endpoints: usize, requests: f64) -> usize {
+    // With all requests spread evenly, a part with this share has as many of them in flight as
+    // this many endpoints at the mean load.
+    let whole_endpoints = share * endpoints as f64;
+    let in_flight = share * requests;
+    1 + (whole_endpoints / MAX_SHARE_OF_MEAN).min(in_flight) as usize
 }
 
 /// Returns the affinity of an endpoint to a part, the same at every process.
--- a/crates/policy/src/occupancy.rs
+++ b/crates/policy/src/occupancy.rs
@@ -1,7 +1,8 @@
 //! Estimated number of requests at an endpoint, as one of its callers knows it.
 //!
 //! An endpoint reports its load with each answer. The requests of this process are
-//! known exactly; the rest of the reported load belongs to other processes.
+//! known exactly; the rest of the reported load belongs to other processes. Where processes
+//! tell each other their requests ([`crate::exchange`]), the later of both counts.
 //! `docs/decisions/platform.md` discusses the estimate.
 
 use std::time::Duration;
@@ -44,6 +45,13 @@
         self.reported = Some(now);
     }
 
+    /// Records the requests that the other processes together have at the endpoint, as they
+    /// told each other. `now` is the time since the process's start.
+    pub fn record_others(&mut self, others: u32, now: Duration) {
+        self.others = others;
+        self.reported = Some(now);
+    }
+
     /// Returns the requests that this process has at the endpoint.
     pub fn own(&self) -> u32 {
         self.own
--- a/crates/policy/tests/choice.rs
+++ b/crates/policy/tests/choice.rs
@@ -20,7 +20,7 @@
 }
 
 fn query(part: Option<u64>, tokens: u32) -> Query {
-    Query { part, tokens, seed: 7 }
+    Query { part, tokens, share: 0.0, seed: 7 }
 }
 
 fn first(query: &Query, candidates: &[Candidate<'_>]) -> String {
@@ -119,6 +119,46 @@
     }
 }
 
+#[test]
+fn a_popular_part_is_spread_evenly_over_its_first_endpoints() {
+    let busy = candidates(&[10.0; 6]);
+    let mut by_name: Vec<(String, u32)> = Vec::new();
+    for seed in 0..600 {
+        let query = Query { share: 0.4, seed, ..query(Some(1), 700) };
+        let name = first(&query, &busy);
+        match by_name.iter_mut().find(|(known, _)| *known == name) {
+            Some((_, count)) => *count += 1,
+            None => by_name.push((name, 1)),
+        }
+    }
+    // 0.4 of the requests are as many as 2.4 endpoints have at the mean, and add no more than half
+    // of it to each of 5.
+    assert_eq!(by_name.len(), 5, "{by_name:?}");
+    assert!(by_name.iter().all(|(_, count)| *count == 120), "{by_name:?}");
+    let home = first(&query(Some(1), 700), &busy);
+    assert!(by_name.iter().any(|(name, _)| *name == home));
+}
+
+#[test]
+fn a_popular_part_stays_at_one_endpoint_of_an_idle_service() {
+    let idle = candidates(&[0.0, 0.0, 1.0, 0.0, 0.0, 0.0]);
+    let home = first(&query(Some(1), 700), &idle);
+    for seed in 0..60 {
+        assert_eq!(first(&Query { share: 0.9, seed, ..query(Some(1), 700) }, &idle), home);
+    }
+}
+
+#[test]
+fn a_share_of_all_requests_uses_all_endpoints() {
+    let idle = candidates(&[0.0; 6]);
+    for seed in 0..6 {
+        let query = Query { share: 1.0, seed, ..query(Some(1), 700) };
+        assert_eq!(choice::order(&query, &idle).len(), 6);
+    }
+    let nobody = choice::order(&Query { share: 1.0, ..query(Some(1), 700) }, &[]);
+    assert!(nobody.is_empty());
+}
+
 #[test]
 fn a_single_endpoint_has_nothing_to_copy_from() {
     assert_eq!(choice::source(1, "e1", &["e1"]), None);
--- a/crates/rpc/src/limit.rs
+++ b/crates/rpc/src/limit.rs
@@ -37,8 +37,14 @@
 /// Highest number of prefixes in one `newer` call; a gateway follows two.
 pub(crate) const MAX_PREFIXES: usize = 8;
 
+/// Longest time for which a `changes` call may wait.
+pub(crate) const MAX_WAIT: Duration = Duration::from_secs(2);
+
+/// Most rows in one report of loads: several times the endpoints of the largest fleets.
+pub(crate) const MAX_ROWS: usize = 16_384;
+
 /// Highest length of a VM name in bytes.
-const VM_MAX_BYTES: usize = 253;
+pub(crate) const VM_MAX_BYTES: usize = 253;
 
 /// JSON-RPC error code of a call that the caller's key doesn't allow.
 const FORBIDDEN: i32 = -32_001;
--- a/crates/rpc/src/view.rs
+++ b/crates/rpc/src/view.rs
@@ -1,15 +1,24 @@
-//! Snapshots of keys that gateways pull from their peers while the key-value service
-//! refuses them.
+//! Calls between gateways: keys of the key-value service that a peer has read, and loads.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
+use futures_util::future::BoxFuture;
+use jsonrpsee::core::ClientError;
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::core::async_trait;
 use jsonrpsee::proc_macros::rpc;
+use jsonrpsee::types::ErrorObjectOwned;
+use jsonrpsee::ws_client::WsClient;
+use policy::exchange::Report;
+use policy::exchange::Sheet;
 use serde::Deserialize;
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 use services::feed::Listing;
+use services::store::Change;
+use tokio::time;
 use tokio_util::sync::CancellationToken;
 
 use crate::Error;
@@ -47,10 +56,48 @@
     pub peers: Vec<SocketAddr>,
 }
 
-/// Provides the snapshots that are sent to peers.
+/// The answer to a `changes` call.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Delta {
+    /// The changes after the caller's version, which may be none.
+    Changes {
+        /// The changes.
+        change: Change,
+        /// Time since the service last answered the called process, or the process that it
+        /// has the keys from.
+        age: Duration,
+    },
+    /// The called process doesn't know what changed since the caller's version.
+    Unknown,
+    /// The called process itself has lost the service.
+    Lost,
+}
+
+/// Requests in flight at endpoints, of several gateways together.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Loads {
+    /// The requests by endpoint.
+    pub sheet: Sheet,
+    /// Number of gateways whose requests they are.
+    pub gateways: u32,
+}
+
+/// Provides the answers that are sent to peers.
 pub trait Source: Send + Sync {
     /// Returns what this process knows that is newer than what a peer knows.
     fn newer(&self, known: &[Cursor]) -> Answer;
+
+    /// Returns the changes under a prefix after a version, and waits for the first one no
+    /// longer than `wait`.
+    fn changes(&self, after: Cursor, wait: Duration) -> BoxFuture<'_, Delta>;
+
+    /// Takes the report of a gateway that reports to this one; returns the requests of all
+    /// others. `None` if the report is not valid.
+    fn report(&self, report: Report) -> Option<Loads>;
+
+    /// Takes the report of a gateway that others report to, and returns this one's. `None` if
+    /// the report is not valid.
+    fn swap(&self, report: Report) -> Option<Report>;
 }
 
 /// The JSON-RPC interface; messages are encoded as those of control calls.
@@ -59,6 +106,19 @@
     /// Returns what is newer than an encoded list of [`Cursor`], as an encoded [`Answer`].
     #[method(name = "newer")]
     async fn newer(&self, known: String) -> RpcResult<String>;
+
+    /// Waits for changes after an encoded [`Cursor`], at most for a time in milliseconds;
+    /// returns an encoded [`Delta`].
+    #[method(name = "changes")]
+    async fn changes(&self, after: String, wait_ms: u32) -> RpcResult<String>;
+
+    /// Returns encoded [`Loads`] for the encoded [`Report`] of a member.
+    #[method(name = "report")]
+    async fn report(&self, report: String) -> RpcResult<String>;
+
+    /// Returns the encoded [`Report`] of the called process for that of the caller.
+    #[method(name = "swap")]
+    async fn swap(&self, report: String) -> RpcResult<String>;
 }
 
 /// Implements the interface with a source.
@@ -76,6 +136,43 @@
         }
         Ok(packet::encode(&self.source.newer(&known)))
     }
+
+    async fn changes(&self, after: String, wait_ms: u32) -> RpcResult<String> {
+        let after: Cursor = read(&after)?;
+        let wait = Duration::from_millis(u64::from(wait_ms)).min(limit::MAX_WAIT);
+        Ok(packet::encode(&self.source.changes(after, wait).await))
+    }
+
+    async fn report(&self, report: String) -> RpcResult<String> {
+        let report = read_report(&report)?;
+        let loads = self.source.report(report).ok_or_else(invalid_report)?;
+        Ok(packet::encode(&loads))
+    }
+
+    async fn swap(&self, report: String) -> RpcResult<String> {
+        let report = read_report(&report)?;
+        let own = self.source.swap(report).ok_or_else(invalid_report)?;
+        Ok(packet::encode(&own))
+    }
+}
+
+/// Decodes an argument.
+fn read<T: DeserializeOwned>(text: &str) -> RpcResult<T> {
+    packet::decode(text).ok_or_else(|| limit::invalid("the argument can't be read"))
+}
+
+/// Decodes a report and checks its size.
+fn read_report(text: &str) -> RpcResult<Report> {
+    let report: Report = read(text)?;
+    let rows = report.own.len() + report.members.len();
+    if rows > limit::MAX_ROWS || report.vm.len() > limit::VM_MAX_BYTES {
+        return Err(limit::invalid("the report is too long"));
+    }
+    Ok(report)
+}
+
+fn invalid_report() -> ErrorObjectOwned {
+    limit::invalid("the report is older than one that is known, or its rows are not in order")
 }
 
 /// Listens on an address and answers peers until cancelled.
@@ -103,9 +200,84 @@
 /// [`Error::Unreachable`] if the peer can't be reached, and [`Error::Refused`] if it
 /// refused the call or its answer is malformed.
 pub async fn ask(peer: SocketAddr, known: &[Cursor]) -> Result<Answer, Error> {
-    let client = pool::client_builder().build(format!("ws://{peer}")).await;
-    let client = client.map_err(|error| Error::Unreachable(peer, error.to_string()))?;
-    let answer = client.newer(packet::encode(&known)).await;
+    let client = Client::connect(peer, limit::CONNECT_TIMEOUT).await?;
+    let answer = client.client.newer(packet::encode(&known)).await;
     let answer = answer.map_err(|error| pool::into_error(peer, error))?;
     pool::decode(peer, &answer)
 }
+
+/// An open connection to a peer.
+#[derive(Debug)]
+pub struct Client {
+    peer: SocketAddr,
+    client: WsClient,
+}
+
+impl Client {
+    /// Connects to a peer.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unreachable`] if that fails or takes longer than `connect_timeout`.
+    pub async fn connect(peer: SocketAddr, connect_timeout: Duration) -> Result<Client, Error> {
+        let builder = pool::client_builder().connection_timeout(connect_timeout);
+        let client = builder.build(format!("ws://{peer}")).await;
+        let client = client.map_err(|error| Error::Unreachable(peer, error.to_string()))?;
+        Ok(Client { peer, client })
+    }
+
+    /// Whether calls can still be made.
+    pub fn is_connected(&self) -> bool {
+        self.client.is_connected()
+    }
+
+    /// Asks for the changes after a version, and waits for the first one no longer than `wait`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unreachable`] if no answer came within `wait` and `answer_timeout`, and
+    /// [`Error::Refused`] if the peer refused the call or its answer is malformed.
+    pub async fn changes(
+        &self,
+        after: &Cursor,
+        wait: Duration,
+        answer_timeout: Duration,
+    ) -> Result<Delta, Error> {
+        let wait_ms = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
+        let call = self.client.changes(packet::encode(after), wait_ms);
+        self.decode(time::timeout(wait + answer_timeout, call).await)
+    }
+
+    /// Reports loads to a peer that adds them up, and returns those of all others.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unreachable`] if no answer came within `answer_timeout`, and
+    /// [`Error::Refused`] if the peer refused the call or its answer is malformed.
+    pub async fn report(&self, report: &Report, answer_timeout: Duration) -> Result<Loads, Error> {
+        let call = self.client.report(packet::encode(report));
+        self.decode(time::timeout(answer_timeout, call).await)
+    }
+
+    /// Exchanges reports with a peer to which others report as well.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Client::report`].
+    pub async fn swap(&self, report: &Report, answer_timeout: Duration) -> Result<Report, Error> {
+        let call = self.client.swap(packet::encode(report));
+        self.decode(time::timeout(answer_timeout, call).await)
+    }
+
+    /// Decodes the answer to a call, if it came in time.
+    fn decode<T: DeserializeOwned>(
+        &self,
+        answer: Result<Result<String, ClientError>, time::error::Elapsed>,
+    ) -> Result<T, Error> {
+        let Ok(answer) = answer else {
+            return Err(Error::Unreachable(self.peer, "no answer in time".to_owned()));
+        };
+        let answer = answer.map_err(|error| pool::into_error(self.peer, error))?;
+        pool::decode(self.peer, &answer)
+    }
+}
--- a/crates/services/src/feed.rs
+++ b/crates/services/src/feed.rs
@@ -22,6 +22,17 @@
     /// See [`Error`]; never [`Error::Lost`].
     fn scan<'a>(&'a self, prefix: &'a str) -> LocalBoxFuture<'a, Result<Listing, Error>>;
 
+    /// Reads all keys that start with a prefix as they were some seconds ago at most, where the
+    /// store has a cheaper way to read them. [`Feed::changes`] after the listing's version
+    /// returns what it lacks.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Feed::scan`].
+    fn scan_cached<'a>(&'a self, prefix: &'a str) -> LocalBoxFuture<'a, Result<Listing, Error>> {
+        self.scan(prefix)
+    }
+
     /// Waits for changes under a prefix after a version of the store, no longer
     /// than `wait`. Returns an empty change if there were none.
     ///
--- a/crates/services/src/store.rs
+++ b/crates/services/src/store.rs
@@ -27,6 +27,16 @@
     /// See [`Error`]; a read never gives [`Error::Lost`].
     fn list<'a>(&'a self, prefix: &'a str) -> LocalBoxFuture<'a, Result<Vec<Entry>, Error>>;
 
+    /// Reads all keys that start with a prefix as they were some seconds ago at most, where
+    /// the service has a cheaper way to read them.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Store::list`].
+    fn list_cached<'a>(&'a self, prefix: &'a str) -> LocalBoxFuture<'a, Result<Vec<Entry>, Error>> {
+        self.list(prefix)
+    }
+
     /// Applies all writes of a commit if every condition holds, else none.
     ///
     /// # Errors
@@ -104,7 +114,7 @@
 }
 
 /// Changes in a range of keys.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Change {
     /// The store's version at the last change.
     pub version: u64,
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -25,6 +25,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Address of the key-value service, which holds the persistent data.
     pub store: SocketAddr,
+    /// Processor share of the VM, in thousandths of a core.
+    pub capacity: u32,
     /// Most client connections that are open at the same time.
     pub connections: usize,
     /// Retries that the whole fleet may send per request.
@@ -69,6 +71,7 @@
         let limit = root.child("limit", faults);
         limit.check_keys(&[key::GATEWAY_LIMIT], faults);
         let descriptors = limit.required_number("descriptors", 256, 1 << 20, faults);
+        let cores = limit.decimal_or("cores", 1.0, 0.001, 10_000.0, faults);
         let notice = limit.required_number("stop_notice_ms", 0, 60_000, faults);
         let grace = limit.required_number("stop_grace_ms", 1_000, 3_600_000, faults);
         let retry = root.child("retry", faults);
@@ -84,6 +87,8 @@
             control: control?,
             seeds,
             store: store?,
+            // The range that was checked fits.
+            capacity: (cores? * 1_000.0) as u32,
             connections: usize::try_from(descriptors? / DESCRIPTORS_PER_CLIENT).ok()?,
             retry_ratio: ratio?,
             retry_slack: slack?,
--- a/crates/settings/src/key.rs
+++ b/crates/settings/src/key.rs
@@ -47,7 +47,7 @@
 pub const GATEWAY_PLATFORM: &[&str] = &["store"];
 
 /// Keys of a gateway's `[limit]`.
-pub const GATEWAY_LIMIT: &[&str] = &["descriptors", "stop_notice_ms", "stop_grace_ms"];
+pub const GATEWAY_LIMIT: &[&str] = &["cores", "descriptors", "stop_notice_ms", "stop_grace_ms"];
 
 /// Keys of a gateway's `[retry]`.
 pub const GATEWAY_RETRY: &[&str] = &["ratio", "slack", "processes"];
--- a/crates/settings/src/section.rs
+++ b/crates/settings/src/section.rs
@@ -148,6 +148,21 @@
         number
     }
 
+    /// Returns an optional number, or `default` if the key is not there.
+    pub(crate) fn decimal_or(
+        &self,
+        key: &str,
+        default: f64,
+        min: f64,
+        max: f64,
+        faults: &mut Vec<Fault>,
+    ) -> Option<f64> {
+        if self.value(key).is_none() {
+            return Some(default);
+        }
+        self.decimal(key, min, max, faults)
+    }
+
     /// Returns a required integer from `min` to `max`.
     pub(crate) fn required_number(
         &self,
--- a/crates/settings/tests/gateway.rs
+++ b/crates/settings/tests/gateway.rs
@@ -17,6 +17,7 @@
 [platform]
 store = "10.0.0.5:2379"
 [limit]
+cores = 0.19
 descriptors = 4100
 stop_notice_ms = 2600
 stop_grace_ms = 5000
@@ -51,6 +52,7 @@
                 10.0.3.7:7002,
             ],
             store: 10.0.0.5:2379,
+            capacity: 190,
             connections: 2050,
             retry_ratio: 0.2,
             retry_slack: 58.0,
@@ -77,9 +79,9 @@
               line 6, `listen.admin`: is already taken by another listener; choose a port of its own
               line 11, `platform.store`: is not a socket address; write an IP number and a port, as in "10.0.0.7:7001"
               line 12, `limit.descriptors`: is missing; add a whole number
-              line 13, `limit.descriptor`: is not known; remove it or use one of: descriptors, stop_notice_ms, stop_grace_ms
-              line 17, `retry.ratio`: has the wrong type; write a number, as in 0.2
-              line 19, `retry.processes`: is out of range; use a whole number from 1 to 100000
+              line 14, `limit.descriptor`: is not known; remove it or use one of: cores, descriptors, stop_notice_ms, stop_grace_ms
+              line 18, `retry.ratio`: has the wrong type; write a number, as in 0.2
+              line 20, `retry.processes`: is out of range; use a whole number from 1 to 100000
         "#]],
     );
 }
