--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -200,6 +200,7 @@
             .map(|tracked| choice::Candidate {
                 name: &tracked.endpoint.id,
                 requests: tracked.occupancy.requests(now),
+                slots: tracked.endpoint.slots,
                 is_far: *tracked.endpoint.centre != *criteria.centre,
             })
             .collect();
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -42,6 +42,10 @@
 /// meanwhile have to be known again two seconds after its end.
 const MAX_BACKOFF: Duration = Duration::from_millis(500);
 
+/// The same for a gateway whose relays read the store for it: they notice the end of an outage,
+/// and tell it. Without the longer backoff, most calls during an outage would be useless ones.
+const MAX_RELAYED_BACKOFF: Duration = Duration::from_secs(3);
+
 /// Interval between removals of endpoints that did not announce themselves again.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -160,7 +164,9 @@
             }
             was_older = is_older;
             if after_outage {
-                back_off(&mut backoff).await;
+                let is_relayed = self.peers.has_relay(Duty::Store);
+                back_off(&mut backoff, if is_relayed { MAX_RELAYED_BACKOFF } else { MAX_BACKOFF })
+                    .await;
             }
         }
     }
@@ -315,8 +321,8 @@
 
 /// Waits before the next call, with exponential backoff. The jitter keeps processes from
 /// calling in step.
-async fn back_off(backoff: &mut Duration) {
+async fn back_off(backoff: &mut Duration, max: Duration) {
     let jitter = rand::rng().random_range(0.75..1.25);
     sleep(backoff.mul_f64(jitter)).await;
-    *backoff = (*backoff * 2).min(MAX_BACKOFF);
+    *backoff = (*backoff * 2).min(max);
 }
--- a/crates/gateway/src/peer/fetch.rs
+++ b/crates/gateway/src/peer/fetch.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use policy::relay::Duty;
 use rand::seq::SliceRandom;
 use rpc::view;
 use rpc::view::Answer;
@@ -27,6 +28,8 @@
 pub(crate) async fn fetch(peers: &Peers, stale: &[Cursor]) -> Vec<Snapshot> {
     let mut addresses = peers.addresses();
     addresses.shuffle(&mut rand::rng());
+    // The relays read the store before others do, so they are asked first.
+    addresses.extend(peers.relay_addresses(Duty::Store));
     let mut asked: Vec<SocketAddr> = Vec::new();
     let mut latest: Vec<Snapshot> = Vec::new();
     while let Some(address) = addresses.pop() {
--- a/crates/gateway/src/peer/peers.rs
+++ b/crates/gateway/src/peer/peers.rs
@@ -107,15 +107,31 @@
     /// empty if it does the duty itself.
     pub(crate) fn relays(&self, duty: Duty) -> Vec<Member> {
         let members = self.members.lock();
-        let candidates: Vec<Candidate<'_>> = members.iter().map(Member::candidate).collect();
-        let order = Order::new(duty, &self.own.centre, &candidates);
-        let asked = order.asked_by(&self.own.vm, &candidates);
+        let asked = self.asked(duty, &members);
         let failures = self.failures(duty).lock();
         let now = self.routing.now();
         let is_allowed = |index: &usize| failures.allows(&members[*index].vm, now);
         asked.into_iter().filter(is_allowed).map(|index| members[index].clone()).collect()
     }
 
+    /// Whether this gateway asks relays for a duty, even if all of them failed lately.
+    pub(crate) fn has_relay(&self, duty: Duty) -> bool {
+        !self.asked(duty, &self.members.lock()).is_empty()
+    }
+
+    /// Returns the addresses of the relays that this gateway asks for a duty, the first one last.
+    pub(crate) fn relay_addresses(&self, duty: Duty) -> Vec<SocketAddr> {
+        let members = self.members.lock();
+        let asked = self.asked(duty, &members);
+        asked.into_iter().rev().map(|index| members[index].address).collect()
+    }
+
+    /// Returns the relays that this gateway asks for a duty, as indices into the members.
+    fn asked(&self, duty: Duty, members: &[Member]) -> Vec<usize> {
+        let candidates: Vec<Candidate<'_>> = members.iter().map(Member::candidate).collect();
+        Order::new(duty, &self.own.centre, &candidates).asked_by(&self.own.vm, &candidates)
+    }
+
     /// Whether other gateways of the data centre rely on this one for a duty.
     pub(crate) fn is_relay(&self, duty: Duty) -> bool {
         let members = self.members.lock();
--- a/crates/gateway/tests/relays.rs
+++ b/crates/gateway/tests/relays.rs
@@ -207,6 +207,25 @@
     .await;
 }
 
+#[tokio::test]
+async fn during_an_outage_the_relay_asks_for_the_store_and_the_others_seldom_do() {
+    let (relay, leaf) = (Store::at(3), Store::at(3));
+    run(&relay, &leaf, async |routing, _| {
+        wait_for(&routing, 3).await;
+        sleep(Duration::from_secs(6)).await;
+        let before = leaf.calls.get();
+        (relay.version.set(None), leaf.version.set(None));
+        sleep(Duration::from_secs(8)).await;
+        let calls = leaf.calls.get() - before;
+        // Two prefixes, each with a backoff that grows from 50 ms to 3 s.
+        assert!(calls <= 20, "{calls} calls");
+        relay.version.set(Some(9));
+        let took = wait_for(&routing, 9).await;
+        assert!(took < Duration::from_secs(2), "{took:?}");
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn a_relay_that_accepts_connections_and_is_silent_holds_nothing_back() {
     let silent = TcpListener::bind("127.0.0.1:0").expect("a listener");
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -28,6 +28,18 @@
 /// Requests allowed above the multiple, so that idle services reuse parts too.
 const REUSE_SLACK_REQUESTS: f64 = 2.5;
 
+/// An endpoint is preferred for the reuse of short parts while at least this share of its slots is
+/// free. Copying a part takes milliseconds, and waiting for a slot a hundred of them.
+const MIN_FREE_SLOTS: f64 = 0.1;
+
+/// When most endpoints have no free slot left, one is preferred for short parts up to this
+/// multiple of the mean load and [`FULL_SLACK_REQUESTS`] more, so that none has a long queue while others have
+/// a short one.
+const FULL_LOAD_MULTIPLE: f64 = 1.15;
+
+/// See [`FULL_LOAD_MULTIPLE`].
+const FULL_SLACK_REQUESTS: f64 = 1.0;
+
 /// Requests with one part are spread over so many endpoints that they add at most this multiple of
 /// the mean load to each.
 const MAX_SHARE_OF_MEAN: f64 = 0.5;
@@ -43,6 +55,8 @@
     pub name: &'a str,
     /// Estimated number of its requests.
     pub requests: f64,
+    /// Requests that it processes at the same time, if it announces that; more have to wait.
+    pub slots: Option<u32>,
     /// Whether it is in another data centre.
     pub is_far: bool,
 }
@@ -95,11 +109,10 @@
     let part = query.part?;
     let total: f64 = candidates.iter().map(|candidate| candidate.requests).sum();
     let mean = total / candidates.len().max(1) as f64;
-    let long_fraction = (f64::from(query.tokens) / LONG_PART_TOKENS).min(1.0);
-    let multiple = SHORT_PART_LOAD_MULTIPLE
-        + (LONG_PART_LOAD_MULTIPLE - SHORT_PART_LOAD_MULTIPLE) * long_fraction;
-    let max_requests = mean * multiple + REUSE_SLACK_REQUESTS;
-    let has_room = |index: &usize| candidates[*index].requests <= max_requests;
+    let has_room = |index: &usize| {
+        let Candidate { requests, slots, .. } = candidates[*index];
+        requests <= max_requests(query.tokens, mean, slots)
+    };
     let mut ranked: Vec<usize> = (0..candidates.len()).collect();
     ranked.sort_by_cached_key(|index| Reverse(affinity(candidates[*index].name, part)));
     let replicas = replicas(query.share, candidates.len(), total).min(ranked.len());
@@ -107,6 +120,20 @@
     ranked.into_iter().find(has_room)
 }
 
+/// Returns the most requests with which an endpoint is preferred for the reuse of a part, given
+/// the mean load and the endpoint's slots.
+///
+/// A short part is read again sooner than a slot gets free, a long one is not: it would delay all
+/// requests at the other endpoint, and push other parts out of its cache.
+fn max_requests(tokens: u32, mean: f64, slots: Option<u32>) -> f64 {
+    let long = mean * LONG_PART_LOAD_MULTIPLE + REUSE_SLACK_REQUESTS;
+    let free = slots.map_or(f64::INFINITY, |slots| f64::from(slots) * (1.0 - MIN_FREE_SLOTS));
+    let full = mean * FULL_LOAD_MULTIPLE + FULL_SLACK_REQUESTS;
+    let short = (mean * SHORT_PART_LOAD_MULTIPLE + REUSE_SLACK_REQUESTS).min(free.max(full));
+    let long_fraction = (f64::from(tokens) / LONG_PART_TOKENS).min(1.0);
+    short + (long - short) * long_fraction
+}
+
 /// Returns the number of endpoints among which the requests of a part are spread.
 ///
 /// `requests` is the number of all requests in flight. While a part has no more than one of
--- a/crates/policy/tests/choice.rs
+++ b/crates/policy/tests/choice.rs
@@ -14,6 +14,7 @@
     let candidate = |(name, requests): (&&'static str, &f64)| Candidate {
         name,
         requests: *requests,
+        slots: None,
         is_far: false,
     };
     NAMES.iter().zip(requests).map(candidate).collect()
--- a/crates/policy/tests/fleet_load.rs
+++ b/crates/policy/tests/fleet_load.rs
@@ -19,6 +19,9 @@
 const GATEWAYS: usize = 68;
 const ENDPOINTS: usize = 76;
 
+/// Requests that an endpoint processes at the same time.
+const SLOTS: u32 = 16;
+
 /// Parts of prompts that requests share.
 const PARTS: usize = 2_100;
 
@@ -28,8 +31,9 @@
 /// Exponent of the parts' popularity.
 const POPULARITY_SKEW: f64 = 0.3;
 
-/// Tokens of a part: long enough that a busier endpoint is accepted for its reuse.
-const PART_TOKENS: u32 = 4_000;
+/// Tokens of parts: of one in eight, for which a busier endpoint is accepted, and of the others.
+const LONG_PART_TOKENS: u32 = 10_000;
+const SHORT_PART_TOKENS: u32 = 700;
 
 /// Interval between reports of a gateway, and the time that a report takes through a relay.
 const REPORT_MILLIS: u64 = 250;
@@ -86,11 +90,16 @@
     popularities: Vec<Popularity>,
     /// Whether popular parts are spread over several endpoints.
     is_spread: bool,
+    /// Slots that each endpoint announces.
+    slots: Option<u32>,
     sent: u32,
     /// Requests that reached an endpoint above the bound.
     above: u32,
     /// Requests that were sent to another endpoint than the first one for their part.
     away: u32,
+    /// Requests with short parts that have to wait for a slot although many other endpoints have
+    /// one.
+    needless: u32,
 }
 
 impl Fleet {
@@ -112,9 +121,11 @@
             weights: weights.collect(),
             popularities: vec![Popularity::default(); GATEWAYS],
             is_spread: true,
+            slots: Some(SLOTS),
             sent: 0,
             above: 0,
             away: 0,
+            needless: 0,
         }
     }
 
@@ -198,6 +209,7 @@
             .map(|(name, occupancy)| Candidate {
                 name,
                 requests: occupancy.requests(now),
+                slots: self.slots,
                 is_far: false,
             })
             .collect();
@@ -205,7 +217,7 @@
         popularity.record(part, now);
         let share = if self.is_spread { popularity.share(part, now) } else { 0.0 };
         let seed = self.random.random();
-        let query = Query { part: Some(part), tokens: PART_TOKENS, share, seed };
+        let query = Query { part: Some(part), tokens: tokens(part), share, seed };
         let endpoint = choice::order(&query, &candidates)[0];
         let idle: Vec<Candidate<'_>> =
             candidates.iter().map(|known| Candidate { requests: 0.0, ..*known }).collect();
@@ -214,6 +226,9 @@
         self.sent += 1;
         self.above +=
             u32::from(f64::from(self.held[endpoint]) > BOUND_MULTIPLE * mean + BOUND_SLACK);
+        let free = self.held.iter().filter(|held| **held < SLOTS).count();
+        let waits = self.held[endpoint] >= SLOTS && free > ENDPOINTS / 4;
+        self.needless += u32::from(waits && tokens(part) == SHORT_PART_TOKENS);
         let lasts = (-(1.0 - self.random.random::<f64>()).ln() * phase.mean_millis) as u64 + 1;
         let answers = millis + (lasts / 10).max(1);
         self.running.push(Request { gateway, endpoint, ends: millis + lasts, answers });
@@ -222,6 +237,10 @@
     }
 }
 
+fn tokens(part: u64) -> u32 {
+    if part.is_multiple_of(8) { LONG_PART_TOKENS } else { SHORT_PART_TOKENS }
+}
+
 /// All gateways start at the same time, in the middle of a burst.
 const START_IN_A_BURST: [Phase; 1] =
     [Phase { seconds: 5, requests_per_second: 1_250.0, mean_millis: 700.0, hot_share: 0.0 }];
@@ -238,6 +257,10 @@
     Phase { seconds: 6, requests_per_second: 730.0, mean_millis: 500.0, hot_share: 0.1 },
 ];
 
+/// Endpoints were lost while long prompts come in a burst: those that are left have few slots free.
+const NEARLY_FULL: [Phase; 1] =
+    [Phase { seconds: 8, requests_per_second: 1_100.0, mean_millis: 900.0, hot_share: 0.0 }];
+
 const PATTERNS: [(&str, &[Phase]); 3] = [
     ("start in a burst", &START_IN_A_BURST),
     ("shift to long answers", &SHIFT_TO_LONG_ANSWERS),
@@ -284,3 +307,17 @@
         assert!(with < without, "seed {seed}: {with:.3} with the exchange, {without:.3} without");
     }
 }
+
+#[test]
+fn few_requests_wait_for_a_slot_while_other_endpoints_have_one() {
+    for seed in 1..=3 {
+        let needless = |slots| {
+            let mut fleet = Fleet::new(Knowledge::Exchange, seed);
+            fleet.slots = slots;
+            fleet.play(&NEARLY_FULL);
+            f64::from(fleet.needless) / f64::from(fleet.sent)
+        };
+        let (with, without) = (needless(Some(SLOTS)), needless(None));
+        assert!(with < without * 0.8, "seed {seed}: {with:.3} with slots, {without:.3} without");
+    }
+}
