Bound the bytes that an endpoint sends without a response

Cause: header lines, interim responses, blanks in a chunk's size and events without an end are in order piece by piece, so a connection was read until the request's deadline; heads were buffered up to 400 KB and events without any bound, which hundreds of streams fill a VM's 160 MB with. Each piece of a long event was also searched from its start.

What breaks a bound is a failure that may have run.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -4,10 +4,11 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use http::HeaderMap;
 use http::StatusCode;
 use http_body_util::BodyExt;
-use http_body_util::Limited;
+use link::Body;
 use link::Connection;
 use link::Failure;
 use link::Response;
@@ -129,16 +130,13 @@
         }));
     }
     let (head, body) = response.into_parts();
-    let body = match Limited::new(body, RESPONSE_MAX_BYTES).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) if reply.is_not_run => {
-            log::debug!(id = request.id(); "reading the body of a refusal failed: {error}");
+    let body = match collect(worker, body).await {
+        Ok(body) => body,
+        Err(cause) if reply.is_not_run => {
+            log::debug!(id = request.id(); "reading the body of a refusal failed: {cause}");
             return Outcome::NotRun;
         }
-        Err(error) => {
-            let failure = Failure::Broken(error.to_string());
-            return fail(worker, request, endpoint, &failure);
-        }
+        Err(cause) => return fail(worker, request, endpoint, &Failure::Broken(cause)),
     };
     worker.pool.put(connection);
     if reply.is_not_run {
@@ -152,6 +150,29 @@
     Outcome::Full(FullResponse { status, headers: head.headers, body })
 }
 
+/// Reads a body whole.
+///
+/// # Errors
+///
+/// A description of why that failed: the body broke off, it is too long, or the bodies that are
+/// read at the same time take too much memory together.
+async fn collect(worker: &Worker, mut body: Body) -> Result<Bytes, String> {
+    let mut reserved = worker.buffers.reserve();
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        // Trailers are ignored.
+        let Ok(data) = frame.map_err(|error| error.to_string())?.into_data() else { continue };
+        if bytes.len() + data.len() > RESPONSE_MAX_BYTES {
+            return Err(format!("the body is longer than {RESPONSE_MAX_BYTES} bytes"));
+        }
+        if !reserved.grow(data.len()) {
+            return Err("the bodies of all responses take too much memory".to_owned());
+        }
+        bytes.extend_from_slice(&data);
+    }
+    Ok(bytes.freeze())
+}
+
 /// Checks that a response belongs to the request.
 ///
 /// A response without a request id is only accepted as a refusal, since endpoints echo the
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -2,10 +2,24 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use displaydoc::Display;
 
 /// Start of the line with an event's id.
 const ID_PREFIX: &[u8] = b"id:";
 
+/// Length of the longest end of an event, which is two line ends.
+const EVENT_END_MAX_BYTES: usize = 4;
+
+/// Longest event that is buffered. Events of endpoints take some hundred bytes; hundreds of broken
+/// streams must not fill the memory of a small VM.
+const EVENT_MAX_BYTES: usize = 64 * 1024;
+
+/// an event of the stream did not end within the limit
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub(crate) struct Oversized;
+
+impl std::error::Error for Oversized {}
+
 /// Buffers the bytes of a stream and releases whole events, unchanged.
 ///
 /// An endpoint may break off in the middle of an event. The incomplete event must not reach
@@ -14,20 +28,35 @@
 pub(crate) struct Splitter {
     /// Bytes after the last whole event.
     rest: BytesMut,
+    /// Bytes of `rest` in which no end of an event was found.
+    scanned: usize,
     /// Id of the last whole event that had one.
     last: Option<u64>,
 }
 
 impl Splitter {
     /// Adds received bytes, and returns the events that are whole now; empty if there are none.
-    pub(crate) fn push(&mut self, bytes: &[u8]) -> Bytes {
+    ///
+    /// # Errors
+    ///
+    /// [`Oversized`] if an event has not ended within the limit.
+    pub(crate) fn push(&mut self, bytes: &[u8]) -> Result<Bytes, Oversized> {
         self.rest.extend_from_slice(bytes);
-        let end = end_of_events(&self.rest);
+        // The end of an event may have begun in the bytes before.
+        let start = self.scanned.saturating_sub(EVENT_END_MAX_BYTES - 1);
+        let end = match end_of_events(&self.rest[start..]) {
+            0 => 0,
+            end => start + end,
+        };
         let events = self.rest.split_to(end).freeze();
+        self.scanned = self.rest.len();
+        if events.is_empty() && self.rest.len() > EVENT_MAX_BYTES {
+            return Err(Oversized);
+        }
         if let Some(id) = last_id(&events) {
             self.last = Some(id);
         }
-        events
+        Ok(events)
     }
 
     /// Returns the id of the last whole event that had one.
@@ -37,6 +66,7 @@
 
     /// Removes and returns the bytes after the last whole event.
     pub(crate) fn take_rest(&mut self) -> Bytes {
+        self.scanned = 0;
         self.rest.split().freeze()
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod accept;
 mod attempt;
+mod buffers;
 mod connections;
 mod context;
 mod criteria;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -9,7 +9,7 @@
 use http::HeaderMap;
 use http::StatusCode;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use link::Body;
 use link::Connection;
 use tokio::time::timeout_at;
 
@@ -40,7 +40,7 @@
 /// The endpoint that the events currently come from.
 struct Source {
     endpoint: Arc<route::Endpoint>,
-    body: Incoming,
+    body: Body,
     connection: Connection,
     _in_flight: InFlight,
 }
@@ -92,12 +92,16 @@
     pub(crate) async fn next(&mut self) -> Option<io::Result<Bytes>> {
         loop {
             match self.read().await? {
-                Read::Data(data) => {
-                    let events = self.events.push(&data);
-                    if !events.is_empty() {
-                        return Some(Ok(events));
+                Read::Data(data) => match self.events.push(&data) {
+                    Ok(events) if events.is_empty() => {}
+                    Ok(events) => return Some(Ok(events)),
+                    Err(error) => {
+                        if !self.resume(&error.to_string()).await {
+                            self.log("cut");
+                            return Some(Err(io::Error::other(error)));
+                        }
                     }
-                }
+                },
                 Read::End => {
                     let source = self.source.take()?;
                     self.worker.pool.put(source.connection);
--- a/crates/gateway/src/worker.rs
+++ b/crates/gateway/src/worker.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use crate::Context;
+use crate::buffers::Buffers;
 use crate::connections::Connections;
 use crate::request::Request;
 
@@ -18,6 +19,8 @@
     pub(crate) context: Context,
     pub(crate) pool: Pool,
     pub(crate) connections: Connections,
+    /// Memory of the responses that are being read.
+    pub(crate) buffers: Buffers,
     /// Set when the process is draining: the time after which no response is sent any more.
     drain_deadline: Cell<Option<Instant>>,
     /// Retry budgets, sorted by service.
@@ -31,6 +34,7 @@
             context,
             pool: Pool::default(),
             connections: Connections::default(),
+            buffers: Buffers::default(),
             drain_deadline: Cell::new(None),
             retries: Mutex::default(),
         }
--- a/crates/gateway/tests/relays.rs
+++ b/crates/gateway/tests/relays.rs
@@ -214,7 +214,8 @@
         wait_for(&routing, 3).await;
         sleep(Duration::from_secs(6)).await;
         let before = leaf.calls.get();
-        (relay.version.set(None), leaf.version.set(None));
+        relay.version.set(None);
+        leaf.version.set(None);
         sleep(Duration::from_secs(8)).await;
         let calls = leaf.calls.get() - before;
         // Two prefixes, each with a backoff that grows from 50 ms to 3 s.
--- a/crates/gateway/tests/sessions/support/client.rs
+++ b/crates/gateway/tests/sessions/support/client.rs
@@ -10,6 +10,9 @@
 /// The client stops reading if nothing arrives for this time.
 const QUIET_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Longest time to wait for the first byte of a response.
+const MAX_QUIET: Duration = Duration::from_secs(10);
+
 /// One connection to the gateway.
 pub struct Client {
     stream: TcpStream,
@@ -63,6 +66,25 @@
         format!("{text}{newline}{end}")
     }
 
+    /// Reads the first line of a response. Fails after [`MAX_QUIET`] without one.
+    pub fn read_line(&mut self) -> String {
+        let start = Instant::now();
+        let mut bytes = Vec::new();
+        while !bytes.contains(&b'\n') {
+            let mut buffer = [0; 4096];
+            match self.stream.read(&mut buffer) {
+                Ok(0) => panic!("the connection was closed"),
+                Ok(count) => bytes.extend_from_slice(&buffer[..count]),
+                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {
+                    assert!(start.elapsed() < MAX_QUIET, "no response");
+                }
+                Err(error) => panic!("{error}"),
+            }
+        }
+        let text = String::from_utf8_lossy(&bytes);
+        text.lines().next().unwrap_or_default().to_owned()
+    }
+
     /// Sends a request and returns the response, as [`Client::read`] does.
     pub fn exchange(&mut self, request: &str) -> String {
         self.send(request);
--- a/crates/gateway/tests/sessions/support/endpoint.rs
+++ b/crates/gateway/tests/sessions/support/endpoint.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use parking_lot::Mutex;
 
@@ -16,6 +17,9 @@
 pub enum Step {
     /// Sends these bytes; `{id}` stands for the id of the request.
     Send(String),
+    /// Sends these bytes again and again, with a pause of this number of milliseconds, until the
+    /// other side closes the connection, and records whether that took less than 1.5 s.
+    Flood(String, u64),
     /// Waits for this number of milliseconds.
     Pause(u64),
     /// Closes the connection; the next response is sent on another one.
@@ -74,12 +78,18 @@
                 }
                 Step::Pause(millis) => thread::sleep(Duration::from_millis(millis)),
                 Step::Close => return,
+                Step::Flood(text, millis) => {
+                    let start = Instant::now();
+                    while stream.write_all(text.as_bytes()).is_ok() {
+                        thread::sleep(Duration::from_millis(millis));
+                    }
+                    seen.lock().push(note_of_close(start));
+                    return;
+                }
                 Step::AwaitClose => {
-                    let start = std::time::Instant::now();
+                    let start = Instant::now();
                     let _ = stream.read(&mut [0]);
-                    let is_soon = start.elapsed() < Duration::from_millis(1_500);
-                    let note = if is_soon { "closed soon" } else { "closed late" };
-                    seen.lock().push(note.to_owned());
+                    seen.lock().push(note_of_close(start));
                     return;
                 }
             }
@@ -87,6 +97,12 @@
     }
 }
 
+/// Returns the record of a connection that was closed now.
+fn note_of_close(start: Instant) -> String {
+    let is_soon = start.elapsed() < Duration::from_millis(1_500);
+    if is_soon { "closed soon" } else { "closed late" }.to_owned()
+}
+
 /// Reads a request; `None` after the end of the connection.
 fn read_request(stream: &mut TcpStream) -> Option<String> {
     let mut bytes = Vec::new();
--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -1,13 +1,13 @@
 //! A single HTTP/1.1 connection.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::HeaderMap;
 use http::header::CONNECTION;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
@@ -18,12 +18,15 @@
 use tokio::time;
 use tokio::time::Instant;
 
+use crate::Body;
 use crate::Failure;
+use crate::allowance::Allowance;
+use crate::metered::Metered;
 
 /// A request with its complete body.
 pub type Request = http::Request<Full<Bytes>>;
 /// A response whose body is read as it arrives.
-pub type Response = http::Response<Incoming>;
+pub type Response = http::Response<Body>;
 
 /// Time limit for opening a connection: several round trips within a region, with some margin
 /// for a busy VM. No request is sent when it expires, so another endpoint can be tried, long
@@ -39,6 +42,10 @@
 /// [`UNACKNOWLEDGED_TIMEOUT`] after a probe.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Most bytes of a response that are buffered, and so the longest head. Heads of endpoints take
+/// some hundred bytes; hundreds of broken endpoints must not fill the memory of a small VM.
+pub(crate) const MAX_BUFFER_BYTES: usize = 64 * 1024;
+
 /// Idle timeout of a connection whose peer sends no `Keep-Alive` header.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -51,6 +58,7 @@
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     driver: Driver,
+    allowance: Arc<Allowance>,
     /// No further request may be sent on it after this time.
     idle_until: Instant,
     is_reused: bool,
@@ -82,7 +90,9 @@
             Err(_) => return Err(Failure::Unsent(format!("no connection in {CONNECT_TIMEOUT:?}"))),
         };
         set_socket_options(&stream);
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let allowance = Arc::<Allowance>::default();
+        let io = TokioIo::new(Metered::new(stream, Arc::clone(&allowance)));
+        let handshake = http1::Builder::new().max_buf_size(MAX_BUFFER_BYTES).handshake(io).await;
         let (sender, connection) = handshake.map_err(|error| Failure::Unsent(error.to_string()))?;
         let driver = tokio::spawn(async move {
             if let Err(error) = connection.await {
@@ -93,6 +103,7 @@
             address,
             sender,
             driver: Driver(driver),
+            allowance,
             idle_until: Instant::now() + DEFAULT_IDLE_TIMEOUT,
             is_reused: false,
             can_be_kept: true,
@@ -117,10 +128,12 @@
     /// other cases.
     pub async fn send(&mut self, request: Request) -> Result<Response, Failure> {
         self.can_be_kept = false;
+        self.allowance.renew();
         match self.sender.try_send_request(request).await {
             Ok(response) => {
+                self.allowance.renew();
                 self.update_idle_timeout(response.headers());
-                Ok(response)
+                Ok(response.map(|body| Body::new(body, Arc::clone(&self.allowance))))
             }
             Err(mut error) => {
                 let cause = describe(error.error());
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -5,10 +5,14 @@
 //! `hyper` connections and pools the idle ones itself;
 //! `docs/decisions/platform.md` weighs it.
 
+mod allowance;
+mod body;
 mod connection;
 mod failure;
+mod metered;
 mod pool;
 
+pub use body::Body;
 pub use connection::Connection;
 pub use connection::Request;
 pub use connection::Response;
