Shut the listener down once a stopping gateway has given its last answer

Change: the gateway waits until nothing waits in the listener, shuts it down, so that the system refuses further connections, and gives 50 ms for requests on connections that were accepted last.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -1,6 +1,7 @@
 //! The HTTP server for clients.
 
 use std::io;
+use std::net::Shutdown;
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,6 +19,11 @@
 use ntex::web::HttpServer;
 use ntex::web::types::Payload;
 use ntex::web::types::State;
+use rustix::event::PollFd;
+use rustix::event::PollFlags;
+use rustix::event::Timespec;
+use rustix::event::poll;
+use socket2::Socket;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -58,6 +64,15 @@
 /// accepts new connections.
 const STOP_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Interval between checks whether the server has accepted all connections, before it stops.
+const BACKLOG_POLL_INTERVAL: Duration = Duration::from_millis(1);
+
+/// Most such checks: a server that is so late would not answer in time either.
+const BACKLOG_CHECKS: u32 = 50;
+
+/// Time for reading and refusing requests on connections that were accepted last.
+const LAST_REQUESTS_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// Interval between checks for idle connections, both of clients and to endpoints.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -77,6 +92,7 @@
     let (stop, notice, grace) = (context.stop.clone(), context.stop_notice, context.stop_grace);
     let (responses, finished) = (context.responses.clone(), context.finished.clone());
     wait_for_first_read(&context).await;
+    let accepting = Socket::from(listener.try_clone()?);
     let http = HttpServiceConfig::new().set_keepalive(KEEP_ALIVE_TIMEOUT).set_headers_read_rate(
         HEADER_TIMEOUT,
         HEADER_TIMEOUT,
@@ -108,7 +124,10 @@
                 responses.wait().await;
             };
             let is_done = timeout(grace, all_sent).await.is_ok();
+            refuse_connections(&accepting).await;
             finished.cancel();
+            // Requests on connections that were accepted until now are read and refused.
+            sleep(LAST_REQUESTS_TIMEOUT).await;
             // Streaming responses have to be complete before the server is stopped gracefully:
             // its graceful stop breaks them off, and then waits for those that it broke off.
             log::info!(is_done, left = responses.len();
@@ -121,6 +140,35 @@
     }
 }
 
+/// Stops listening, so that the system refuses further connections at once. The server itself
+/// keeps its listener open until the process ends, without accepting from it.
+///
+/// The system resets connections that the server has not accepted yet, so this waits for a moment
+/// without any.
+async fn refuse_connections(listener: &Socket) {
+    for _ in 0..BACKLOG_CHECKS {
+        if !has_backlog(listener) {
+            break;
+        }
+        sleep(BACKLOG_POLL_INTERVAL).await;
+    }
+    if let Err(error) = listener.shutdown(Shutdown::Both) {
+        log::warn!("the listener stays open until the process ends: {error}");
+    }
+}
+
+/// Whether connections wait to be accepted.
+fn has_backlog(listener: &Socket) -> bool {
+    let mut polled = [PollFd::new(listener, PollFlags::IN)];
+    match poll(&mut polled, Some(&Timespec::default())) {
+        Ok(ready) => ready > 0,
+        Err(error) => {
+            log::debug!("the listener's backlog is not known: {error}");
+            false
+        }
+    }
+}
+
 /// Waits until the configuration and the endpoints were read from the store, for at most
 /// [`FIRST_READ_TIMEOUT`].
 ///
--- a/crates/gateway/tests/sessions/stops.rs
+++ b/crates/gateway/tests/sessions/stops.rs
@@ -1,5 +1,9 @@
 //! Tests of a graceful stop.
 
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -86,3 +90,30 @@
     let elapsed = start.elapsed();
     assert!(elapsed < Duration::from_millis(3_700), "{elapsed:?}");
 }
+
+#[test]
+fn until_the_end_of_a_stop_each_connection_is_answered_or_refused() {
+    let endpoint = Endpoint::start("e1", vec![full_response("200 OK", "found")]);
+    let fixture = Fixture::new("plain", &[&endpoint]);
+    let address = fixture.address;
+    let clients: Vec<_> = (0..4).map(|_| thread::spawn(move || until_refused(address))).collect();
+    fixture.stop.cancel();
+    let unanswered: usize =
+        clients.into_iter().map(|client| client.join().expect("a client")).sum();
+    assert_eq!(unanswered, 0, "connections that were accepted and not answered");
+}
+
+/// Sends requests, each on a connection of its own, until connections are refused. Returns the
+/// number of those that got no response.
+fn until_refused(address: SocketAddr) -> usize {
+    let request = format!("GET /look/1 HTTP/1.1\r\n{REQUEST_HEADERS}Connection: close\r\n\r\n");
+    let mut unanswered = 0;
+    while let Ok(mut stream) = TcpStream::connect(address) {
+        // An error shows in the answer that is missing.
+        let _ = stream.write_all(request.as_bytes());
+        let mut answer = Vec::new();
+        let _ = stream.read_to_end(&mut answer);
+        unanswered += usize::from(!answer.starts_with(b"HTTP/1.1 "));
+    }
+    unanswered
+}
