Take an engine's index after a full directory has evicted chats

Cause: home::Directory took the index of a new engine and then evicted chats, which renumbers the engines: the next look-up panicked or named another engine.

Tests: a_full_directory_takes_a_chat_of_a_new_engine and a_full_directory_whose_engines_are_all_evicted_takes_a_new_one fail on the code before (index out of bounds).

--- a/crates/policy/src/home.rs
+++ b/crates/policy/src/home.rs
@@ -41,14 +41,14 @@
 impl Directory {
     /// Records the engine away from home that holds a chat's context.
     pub fn record(&mut self, chat: id::Chat, engine: &str, now: Duration) {
+        if self.find(chat).is_err() {
+            self.evict_if_full(now);
+        }
+        // An eviction renumbers the engines, so the index is taken after it.
         let entry = Entry { chat, engine: self.engine_index(engine), at: seconds(now) };
         match self.find(chat) {
             Ok(index) => self.entries[index] = entry,
-            Err(_) => {
-                self.evict_if_full(now);
-                let index = self.find(chat).unwrap_or_else(|index| index);
-                self.entries.insert(index, entry);
-            }
+            Err(index) => self.entries.insert(index, entry),
         }
     }
 
--- a/crates/policy/tests/home.rs
+++ b/crates/policy/tests/home.rs
@@ -51,3 +51,30 @@
 fn hash(number: u64) -> u64 {
     number.wrapping_mul(0x9e37_79b9_7f4a_7c15)
 }
+
+#[test]
+fn a_full_directory_takes_a_chat_of_a_new_engine() {
+    // An eviction renumbers the engines; the index of the new one has to be taken after it.
+    for full in [32 * 1024, 32 * 1024 + 1] {
+        let mut directory = Directory::default();
+        for number in 0..full {
+            directory.record(hash(number), &format!("engine-{}", number % 7), SECOND);
+        }
+        directory.record(1, "engine-new", 2 * SECOND);
+        assert_eq!(directory.engine(1, 2 * SECOND), Some("engine-new"));
+        directory.record(2, "engine-3", 2 * SECOND);
+        assert_eq!(directory.engine(2, 2 * SECOND), Some("engine-3"));
+    }
+}
+
+#[test]
+fn a_full_directory_whose_engines_are_all_evicted_takes_a_new_one() {
+    let mut directory = Directory::default();
+    for number in 0..32 * 1024 {
+        directory.record(hash(number), "engine-old", SECOND);
+    }
+    let later = 2 * 3600 * SECOND;
+    directory.record(1, "engine-new", later);
+    assert_eq!(directory.engine(1, later), Some("engine-new"));
+    assert_eq!(directory.chats(), 1);
+}
