--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -53,9 +53,10 @@
 /// be in force everywhere within a few seconds.
 const PEER_QUERY_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The same while the process has no configuration or endpoints yet. The first read takes
-/// about 40 ms if the store is available, so peers are usually not asked then.
-const FIRST_PEER_QUERY_INTERVAL: Duration = Duration::from_millis(100);
+/// The same while the process has no configuration or endpoints yet. The first read takes 40 ms,
+/// and more before thousands of endpoints, while a snapshot of all their announcements would be
+/// the largest message of all: hundreds of gateways that start together must not ask for it.
+const FIRST_PEER_QUERY_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Keeps the configuration and the endpoints up to date until the token is cancelled.
 ///
