--- a/crates/rpc/src/limit.rs
+++ b/crates/rpc/src/limit.rs
@@ -37,8 +37,9 @@
 /// Highest number of prefixes in one `newer` call; a gateway follows two.
 pub(crate) const MAX_PREFIXES: usize = 8;
 
-/// Longest time for which a `changes` call may wait.
-pub(crate) const MAX_WAIT: Duration = Duration::from_secs(2);
+/// Longest time for which a `changes` call may wait, so that its answer comes within
+/// [`CALL_TIMEOUT`].
+pub(crate) const MAX_WAIT: Duration = Duration::from_millis(1_500);
 
 /// Most rows in one report of loads: several times the endpoints of the largest fleets.
 pub(crate) const MAX_ROWS: usize = 16_384;
--- /dev/null
+++ b/crates/rpc/src/view/client.rs
@@ -0,0 +1,112 @@
+//! Client of calls between gateways.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use jsonrpsee::core::ClientError;
+use jsonrpsee::ws_client::WsClient;
+use policy::exchange::Report;
+use serde::de::DeserializeOwned;
+use tokio::time;
+
+use crate::Error;
+use crate::limit;
+use crate::packet;
+use crate::pool;
+use crate::view::Answer;
+use crate::view::Cursor;
+use crate::view::Delta;
+use crate::view::Loads;
+use crate::view::ViewClient;
+
+/// Asks a peer for snapshots that are newer than what this process knows.
+///
+/// Connections aren't kept open, because peers are asked only while the key-value
+/// service refuses this process.
+///
+/// # Errors
+///
+/// [`Error::Unreachable`] if the peer can't be reached, and [`Error::Refused`] if it
+/// refused the call or its answer is malformed.
+pub async fn ask(peer: SocketAddr, known: &[Cursor]) -> Result<Answer, Error> {
+    let client = Client::connect(peer, limit::CONNECT_TIMEOUT).await?;
+    let answer = client.client.newer(packet::encode(&known)).await;
+    let answer = answer.map_err(|error| pool::into_error(peer, error))?;
+    pool::decode(peer, &answer)
+}
+
+/// An open connection to a peer.
+#[derive(Debug)]
+pub struct Client {
+    peer: SocketAddr,
+    client: WsClient,
+}
+
+impl Client {
+    /// Connects to a peer.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unreachable`] if that fails or takes longer than `connect_timeout`.
+    pub async fn connect(peer: SocketAddr, connect_timeout: Duration) -> Result<Client, Error> {
+        let builder = pool::client_builder().connection_timeout(connect_timeout);
+        let client = builder.build(format!("ws://{peer}")).await;
+        let client = client.map_err(|error| Error::Unreachable(peer, error.to_string()))?;
+        Ok(Client { peer, client })
+    }
+
+    /// Whether calls can still be made.
+    pub fn is_connected(&self) -> bool {
+        self.client.is_connected()
+    }
+
+    /// Asks for the changes after a version, and waits for the first one no longer than `wait`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unreachable`] if no answer came within `wait` and `answer_timeout`, and
+    /// [`Error::Refused`] if the peer refused the call or its answer is malformed.
+    pub async fn changes(
+        &self,
+        after: &Cursor,
+        wait: Duration,
+        answer_timeout: Duration,
+    ) -> Result<Delta, Error> {
+        let wait_ms = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
+        let call = self.client.changes(packet::encode(after), wait_ms);
+        self.decode(time::timeout(wait + answer_timeout, call).await)
+    }
+
+    /// Reports loads to a peer that adds them up, and returns those of all others.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unreachable`] if no answer came within `answer_timeout`, and
+    /// [`Error::Refused`] if the peer refused the call or its answer is malformed.
+    pub async fn report(&self, report: &Report, answer_timeout: Duration) -> Result<Loads, Error> {
+        let call = self.client.report(packet::encode(report));
+        self.decode(time::timeout(answer_timeout, call).await)
+    }
+
+    /// Exchanges reports with a peer to which others report as well.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Client::report`].
+    pub async fn swap(&self, report: &Report, answer_timeout: Duration) -> Result<Report, Error> {
+        let call = self.client.swap(packet::encode(report));
+        self.decode(time::timeout(answer_timeout, call).await)
+    }
+
+    /// Decodes the answer to a call, if it came in time.
+    fn decode<T: DeserializeOwned>(
+        &self,
+        answer: Result<Result<String, ClientError>, time::error::Elapsed>,
+    ) -> Result<T, Error> {
+        let Ok(answer) = answer else {
+            return Err(Error::Unreachable(self.peer, "no answer in time".to_owned()));
+        };
+        let answer = answer.map_err(|error| pool::into_error(self.peer, error))?;
+        pool::decode(self.peer, &answer)
+    }
+}
