--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -53,10 +53,8 @@
 /// be in force everywhere within a few seconds.
 const PEER_QUERY_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The same while the process has no configuration or endpoints yet. The first read takes 40 ms,
-/// and more before thousands of endpoints, while a snapshot of all their announcements would be
-/// the largest message of all: hundreds of gateways that start together must not ask for it.
-const FIRST_PEER_QUERY_INTERVAL: Duration = Duration::from_millis(300);
+/// The same while the process has no configuration or endpoints yet.
+const FIRST_PEER_QUERY_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Keeps the configuration and the endpoints up to date until the token is cancelled.
 ///
@@ -91,11 +89,13 @@
     loop {
         let is_complete = routing.is_complete();
         sleep(if is_complete { PEER_QUERY_INTERVAL } else { FIRST_PEER_QUERY_INTERVAL }).await;
-        let stale = peers.mirror().stale();
-        if stale.is_empty() {
+        // A first read that takes long is no reason to ask: before thousands of endpoints a
+        // snapshot is the largest message of all, and hundreds of gateways may start together.
+        let lost = peers.mirror().lost();
+        if lost.is_empty() {
             continue;
         }
-        for snapshot in peer::fetch(peers, &stale).await {
+        for snapshot in peer::fetch(peers, &lost).await {
             let watcher = if snapshot.prefix == table.prefix { table } else { endpoints };
             watcher.adopt(&snapshot);
         }
--- a/crates/gateway/src/peer/mirror.rs
+++ b/crates/gateway/src/peer/mirror.rs
@@ -106,12 +106,22 @@
 
     /// Returns the stale prefixes, each with the version up to which its keys are known.
     pub fn stale(&self) -> Vec<Cursor> {
-        let stale = self.subtrees.iter().filter(|subtree| subtree.is_stale());
+        self.cursors(Subtree::is_stale)
+    }
+
+    /// Returns the prefixes for which the last call of the store failed, each with the version up
+    /// to which its keys are known.
+    pub fn lost(&self) -> Vec<Cursor> {
+        self.cursors(|subtree| subtree.is_lost)
+    }
+
+    fn cursors(&self, is_wanted: impl Fn(&Subtree) -> bool) -> Vec<Cursor> {
+        let wanted = self.subtrees.iter().filter(|subtree| is_wanted(subtree));
         let cursor = |subtree: &Subtree| Cursor {
             prefix: subtree.prefix.clone(),
             version: subtree.listing.version,
         };
-        stale.map(cursor).collect()
+        wanted.map(cursor).collect()
     }
 
     /// Whether the store has answered within `CURRENT_MAX_AGE` for all prefixes.
@@ -168,7 +178,7 @@
             return Delta::Lost;
         };
         let Listing { entries, version } = &self.listing;
-        // A version that this copy has not reached yet may have further removals.
+        // What was removed before is not remembered, or was never told.
         if after < self.complete_after {
             return Delta::Unknown;
         }
--- a/crates/gateway/src/peer/peers.rs
+++ b/crates/gateway/src/peer/peers.rs
@@ -141,8 +141,8 @@
         order.standby().is_some() && serving.any(|index| members[index].vm == self.own.vm)
     }
 
-    /// Returns the gateways that add up loads, without this one. Where one failed lately, its
-    /// standby is returned as well.
+    /// Returns the hubs, which are the gateways that add up loads, without this one. Where one
+    /// failed lately, the standby of its data centre is returned as well.
     pub(crate) fn hubs(&self) -> Vec<Member> {
         let members = self.members.lock();
         let candidates: Vec<Candidate<'_>> = members.iter().map(Member::candidate).collect();
--- a/crates/gateway/tests/relays.rs
+++ b/crates/gateway/tests/relays.rs
@@ -41,6 +41,8 @@
 /// A store with a configuration of this version.
 #[derive(Default)]
 struct Store {
+    /// Time that a scan takes.
+    scan_time: Duration,
     /// `None` if it can't be read.
     version: Cell<Option<u64>>,
     /// Scans and watches so far.
@@ -66,7 +68,11 @@
 
 impl Feed for Store {
     fn scan<'a>(&'a self, prefix: &'a str) -> LocalBoxFuture<'a, Result<Listing, Error>> {
-        async move { self.listing(prefix) }.boxed_local()
+        let scan = async move {
+            sleep(self.scan_time).await;
+            self.listing(prefix)
+        };
+        scan.boxed_local()
     }
 
     fn changes<'a>(
@@ -227,6 +233,32 @@
     .await;
 }
 
+#[tokio::test]
+async fn a_first_read_that_takes_long_makes_no_gateway_ask_its_peers_for_all_keys() {
+    // Nobody answers at the address, but each call would connect to it.
+    let seed = TcpListener::bind("127.0.0.1:0").expect("a listener");
+    seed.set_nonblocking(true).expect("a setting");
+    let address = seed.local_addr().expect("an address");
+    let routing = Arc::<Routing>::default();
+    let own = member("g1", free_address());
+    let peers = Peers::new(Arc::clone(&routing), own, 1, vec![address]);
+    let store = Store { scan_time: Duration::from_millis(900), ..Store::at(3) };
+    let stop = CancellationToken::new();
+    let scenario = async {
+        wait_for(&routing, 3).await;
+        assert!(seed.accept().is_err(), "a peer was called");
+        // An outage makes it ask.
+        store.version.set(None);
+        let start = Instant::now();
+        while seed.accept().is_err() {
+            assert!(start.elapsed() < Duration::from_secs(10), "no peer was called");
+            sleep(Duration::from_millis(20)).await;
+        }
+        stop.cancel();
+    };
+    tokio::join!(gateway::follow(&Codec, &store, &peers, stop.clone()), scenario);
+}
+
 #[tokio::test]
 async fn a_relay_that_accepts_connections_and_is_silent_holds_nothing_back() {
     let silent = TcpListener::bind("127.0.0.1:0").expect("a listener");
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -33,8 +33,8 @@
 const MIN_FREE_SLOTS: f64 = 0.1;
 
 /// When most endpoints have no free slot left, one is preferred for short parts up to this
-/// multiple of the mean load and [`FULL_SLACK_REQUESTS`] more, so that none has a long queue while others have
-/// a short one.
+/// multiple of the mean load and [`FULL_SLACK_REQUESTS`] more, so that none has a long queue
+/// while others have a short one.
 const FULL_LOAD_MULTIPLE: f64 = 1.15;
 
 /// See [`FULL_LOAD_MULTIPLE`].
@@ -68,7 +68,7 @@
     pub part: Option<u64>,
     /// Its length, in tokens.
     pub tokens: u32,
-    /// Share of the service's requests that have the part, from 0 to 1.
+    /// Share of recent requests that have the part, from 0 to 1.
     pub share: f64,
     /// Random bits, which break ties between equally loaded endpoints.
     pub seed: u64,
