--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -7,7 +7,7 @@
 use policy::exchange::Sheet;
 use rpc::view::Loads;
 
-/// The reports of the gateways that report to this one and of those that others report to.
+/// The reports of this gateway's members, which report to it, and of other hubs.
 #[derive(Debug)]
 pub(crate) struct Exchange {
     vm: String,
@@ -54,18 +54,17 @@
         take(&mut self.members, report, now)?;
         let mut loads = self.all_but(&vm, now);
         loads.sheet.add_all(own);
-        loads.gateways += 1;
+        loads.gateways = loads.gateways.saturating_add(1);
         Some(loads)
     }
 
-    /// Takes the report of a gateway that others report to; returns this gateway's. `None` if it
-    /// isn't valid.
+    /// Takes the report of another hub; returns this gateway's. `None` if it isn't valid.
     pub(crate) fn take_hub(&mut self, report: Report, own: Sheet, now: Duration) -> Option<Report> {
         self.record_hub(report, now)?;
         Some(self.next_report(own, now))
     }
 
-    /// Records the report of a gateway that others report to. `None` if it isn't valid.
+    /// Records the report of another hub. `None` if it isn't valid.
     pub(crate) fn record_hub(&mut self, report: Report, now: Duration) -> Option<()> {
         take(&mut self.hubs, report, now)
     }
@@ -78,7 +77,8 @@
     fn all_but(&self, vm: &str, now: Duration) -> Loads {
         let mut sheet = self.members.all_but(vm, now);
         sheet.add_all(&self.hubs.all_but(vm, now));
-        let gateways = self.members.gateways_but(vm, now) + self.hubs.gateways_but(vm, now);
+        let members = self.members.gateways_but(vm, now);
+        let gateways = members.saturating_add(self.hubs.gateways_but(vm, now));
         Loads { sheet, gateways }
     }
 }
--- a/crates/gateway/src/peer/loads.rs
+++ b/crates/gateway/src/peer/loads.rs
@@ -5,6 +5,7 @@
 
 use futures_util::future::join_all;
 use parking_lot::Mutex;
+use policy::exchange::Report;
 use policy::relay::Duty;
 use rand::RngExt;
 use rpc::Error;
@@ -29,8 +30,8 @@
 
 /// Exchanges loads with the other gateways until cancelled.
 ///
-/// A gateway reports to the gateway of its data centre that adds up loads. Gateways that add up
-/// loads exchange their sums with each other.
+/// A gateway reports to the hub of its data centre, which adds up loads. Hubs exchange their sums
+/// with each other.
 pub async fn share_loads(peers: &Peers, cancel: CancellationToken) {
     let sharing = Sharing { peers, connections: Mutex::default() };
     let exchange = async {
@@ -64,36 +65,42 @@
                 Err(error) => self.failed(&hub, &error),
             }
         }
-        // This gateway adds up loads, or does so for the moment since those that should failed.
+        // This gateway is a hub, or acts as one while the hubs of its data centre fail.
         let hubs = peers.hubs();
         let own = peers.own();
-        // The answer to a report is the other one's report, so one of two gateways calls.
+        // The answer to a swap is the other hub's report, so only one of two hubs calls.
         let called = hubs.iter().filter(|hub| own.vm < hub.vm);
         join_all(called.map(|hub| self.swap(hub))).await;
         let others = peers.exchange().others(peers.routing().now());
         self.apply(&others);
     }
 
-    /// Reports to a gateway that adds up loads; returns the loads of all others.
+    /// Reports to a hub; returns the loads of all others.
     async fn report(&self, hub: &Member) -> Result<Loads, Error> {
-        let routing = self.peers.routing();
-        let report = self.peers.exchange().next_report(routing.own_loads(), routing.now());
+        let report = self.next_report();
         self.client(hub).await?.report(&report, ANSWER_TIMEOUT).await
     }
 
-    /// Exchanges sums with another gateway that adds up loads.
+    /// Exchanges sums with another hub.
     async fn swap(&self, hub: &Member) {
-        let routing = self.peers.routing();
-        let report = self.peers.exchange().next_report(routing.own_loads(), routing.now());
+        let report = self.next_report();
         let swapped = async { self.client(hub).await?.swap(&report, ANSWER_TIMEOUT).await };
         match swapped.await {
             Ok(report) => {
-                self.peers.exchange().record_hub(report, routing.now());
+                self.peers.exchange().record_hub(report, self.peers.routing().now());
             }
             Err(error) => self.failed(hub, &error),
         }
     }
 
+    /// Returns this gateway's next report.
+    fn next_report(&self) -> Report {
+        let routing = self.peers.routing();
+        // Taken first, so that the lock of the endpoints isn't taken under that of the exchange.
+        let own = routing.own_loads();
+        self.peers.exchange().next_report(own, routing.now())
+    }
+
     /// Uses the loads of the other gateways for the choice of endpoints.
     fn apply(&self, loads: &Loads) {
         record::known_loads(loads.gateways);
--- a/crates/gateway/src/peer/mirror.rs
+++ b/crates/gateway/src/peer/mirror.rs
@@ -104,24 +104,15 @@
         self.find(prefix).map_or(0, |index| self.subtrees[index].listing.version)
     }
 
-    /// Returns the stale prefixes, each with the version up to which its keys are known.
-    pub fn stale(&self) -> Vec<Cursor> {
-        self.cursors(Subtree::is_stale)
-    }
-
     /// Returns the prefixes for which the last call of the store failed, each with the version up
     /// to which its keys are known.
     pub fn lost(&self) -> Vec<Cursor> {
-        self.cursors(|subtree| subtree.is_lost)
-    }
-
-    fn cursors(&self, is_wanted: impl Fn(&Subtree) -> bool) -> Vec<Cursor> {
-        let wanted = self.subtrees.iter().filter(|subtree| is_wanted(subtree));
+        let lost = self.subtrees.iter().filter(|subtree| subtree.is_lost);
         let cursor = |subtree: &Subtree| Cursor {
             prefix: subtree.prefix.clone(),
             version: subtree.listing.version,
         };
-        wanted.map(cursor).collect()
+        lost.map(cursor).collect()
     }
 
     /// Whether the store has answered within `CURRENT_MAX_AGE` for all prefixes.
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -17,8 +17,10 @@
 use gateway::Peers;
 use gateway::Routing;
 use platform::Codec;
+use policy::exchange::Report;
 use rpc::view::Cursor;
 use rpc::view::Snapshot;
+use rpc::view::Source;
 use services::Feed;
 use services::feed::Listing;
 use services::store::Change;
@@ -215,8 +217,9 @@
     let snapshot =
         |version| Snapshot { prefix: "a/".to_owned(), listing: listing(&["a/9"], version) };
     assert!(!mirror.adopt(&snapshot(9)), "the prefix is not stale");
+    assert_eq!(mirror.lost(), []);
     mirror.set_lost("a/");
-    assert_eq!(mirror.stale(), [Cursor { prefix: "a/".to_owned(), version: 5 }]);
+    assert_eq!(mirror.lost(), [Cursor { prefix: "a/".to_owned(), version: 5 }]);
     assert!(!mirror.adopt(&snapshot(5)), "the snapshot is not newer");
     assert!(mirror.adopt(&snapshot(9)));
     assert_eq!(mirror.version("a/"), 9);
@@ -227,3 +230,12 @@
     let keys: Vec<&str> = snapshot.listing.entries.iter().map(|entry| entry.key.as_str()).collect();
     format!("{:?} {keys:?} {}\n", snapshot.prefix, snapshot.listing.version)
 }
+
+#[test]
+fn a_report_with_an_impossible_number_of_gateways_stops_no_exchange() {
+    let peers = Peers::new(Arc::default(), member("g1", free_address()), 1, Vec::new());
+    let report = |vm: &str| Report { vm: vm.to_owned(), gateways: u32::MAX, ..Report::default() };
+    assert!(peers.swap(report("hub")).is_some());
+    assert!(peers.report(report("member")).is_some());
+    assert_eq!(peers.report(report("another")).map(|loads| loads.gateways), Some(u32::MAX));
+}
--- a/crates/rpc/src/view/client.rs
+++ b/crates/rpc/src/view/client.rs
@@ -85,7 +85,11 @@
     /// [`Error::Refused`] if the peer refused the call or its answer is malformed.
     pub async fn report(&self, report: &Report, answer_timeout: Duration) -> Result<Loads, Error> {
         let call = self.client.report(packet::encode(report));
-        self.decode(time::timeout(answer_timeout, call).await)
+        let loads: Loads = self.decode(time::timeout(answer_timeout, call).await)?;
+        if !loads.sheet.is_valid() {
+            return Err(Error::Refused(self.peer, "its rows are not in order".to_owned()));
+        }
+        Ok(loads)
     }
 
     /// Exchanges reports with a peer to which others report as well.
--- a/crates/rpc/tests/view.rs
+++ b/crates/rpc/tests/view.rs
@@ -43,6 +43,9 @@
     }
 
     fn report(&self, report: Report) -> Option<Loads> {
+        if report.vm == "unsorted" {
+            return Some(Loads { sheet: unsorted(), gateways: 1 });
+        }
         (report.vm == "valid").then_some(Loads { sheet: report.own, gateways: 3 })
     }
 
@@ -51,6 +54,13 @@
     }
 }
 
+/// Returns a sheet whose rows are not in order, as only a broken peer sends it.
+fn unsorted() -> Sheet {
+    let rows: Vec<(u32, u32)> = vec![(9, 1), (3, 1)];
+    let sheet = serde_json::json!({ "rows": rows });
+    serde_json::from_value(sheet).expect("a sheet")
+}
+
 fn report(vm: &str, rows: u32) -> Report {
     let mut own = Sheet::default();
     (0..rows).for_each(|endpoint| own.add(endpoint, 1));
@@ -87,6 +97,7 @@
     assert_eq!(swapped, Ok(report("valid", 2)));
     assert!(is_refused(&client.report(&report("other", 2), ANSWER_TIMEOUT).await));
     assert!(is_refused(&client.swap(&report("other", 2), ANSWER_TIMEOUT).await));
+    assert!(is_refused(&client.report(&report("unsorted", 1), ANSWER_TIMEOUT).await));
     // The connection outlives refusals.
     assert!(client.report(&report("valid", 1), ANSWER_TIMEOUT).await.is_ok());
     stop.cancel();
