--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -18,8 +18,8 @@
 
 use crate::Routing;
 use crate::peer;
+use crate::peer::Follower;
 use crate::peer::Peers;
-use crate::peer::Relay;
 use crate::record;
 
 /// How long the store holds a call that waits for changes. A dead connection is noticed when
@@ -67,8 +67,8 @@
 ) {
     let routing = peers.routing();
     let prefix = dialect.table_prefix();
-    let relay = &Relay::default();
-    let table = Watcher { routing, dialect, feed, peers, relay, prefix, kind: Kind::Table };
+    let follower = &Follower::default();
+    let table = Watcher { routing, dialect, feed, peers, follower, prefix, kind: Kind::Table };
     let endpoints =
         Watcher { prefix: dialect.endpoint_prefix(), kind: Kind::Endpoints, ..table.clone() };
     let sweep = async {
@@ -116,7 +116,7 @@
     dialect: &'a dyn Dialect,
     feed: &'a dyn Feed,
     peers: &'a Peers,
-    relay: &'a Relay,
+    follower: &'a Follower,
     prefix: &'a str,
     kind: Kind,
 }
@@ -185,7 +185,7 @@
         let mut is_relayed = false;
         loop {
             let after = Cursor { prefix: self.prefix.to_owned(), version };
-            let relayed = self.relay.changes(self.peers, &after).await;
+            let relayed = self.follower.changes(self.peers, &after).await;
             if relayed.is_some() != is_relayed {
                 is_relayed = !is_relayed;
                 log::info!(prefix = self.prefix, version, is_relayed; "source of changes");
@@ -223,11 +223,11 @@
         if self.peers.is_relay(Duty::Store) { RELAY_WATCH_TIMEOUT } else { WATCH_TIMEOUT }
     }
 
-    /// Applies changes that the store told some time ago.
+    /// Applies changes that the store reported some time ago.
     fn apply(&self, change: &Change, age: Duration) {
         self.apply_change(change);
-        let told = self.routing.now().saturating_sub(age);
-        self.peers.update_mirror(|mirror| mirror.apply(self.prefix, change, told));
+        let answered_at = self.routing.now().saturating_sub(age);
+        self.peers.update_mirror(|mirror| mirror.apply(self.prefix, change, answered_at));
     }
 
     /// Applies a peer's snapshot if the keys are stale here and it is newer. Endpoints that it
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -6,18 +6,18 @@
 
 mod exchange;
 mod fetch;
+mod follower;
 mod loads;
 mod member;
 mod mirror;
 mod peers;
 mod registration;
-mod relay;
 
 pub(crate) use exchange::Exchange;
 pub(crate) use fetch::fetch;
+pub(crate) use follower::Follower;
 pub use loads::share_loads;
 pub use member::Member;
 pub use mirror::Mirror;
 pub use peers::Peers;
 pub use registration::register;
-pub(crate) use relay::Relay;
--- a/crates/gateway/src/peer/relay.rs
+++ b/crates/gateway/src/peer/follower.rs
@@ -1,4 +1,4 @@
-//! Gets changes of the store's keys from a relay.
+//! Follows the changes of the store's keys that relays report.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,7 +23,7 @@
 /// with some margin for a busy VM.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Changes that a relay told.
+/// Changes that a relay reported.
 #[derive(Debug)]
 pub(crate) struct Relayed {
     /// The changes, which may be none.
@@ -32,13 +32,13 @@
     pub(crate) age: Duration,
 }
 
-/// The connection to the relay that was asked last.
+/// Follows the relays of this gateway, over the connection to the one that was asked last.
 #[derive(Debug, Default)]
-pub(crate) struct Relay {
+pub(crate) struct Follower {
     connection: Mutex<Option<(String, Arc<Client>)>>,
 }
 
-impl Relay {
+impl Follower {
     /// Asks the relays of this gateway for changes under a prefix after a version, one after the
     /// other. Returns the answer of the first one whose view of the store is current.
     ///
