Let as many connections wait for the listener as the system allows

The listener had the standard library's queue of 128; 201 clients connect together, 72 first packets were dropped (the kernel's ListenOverflows), and TCP sends them again after a second. Run alone the test failed in 11 of 12 runs, each with 69 to 72 overflows; its passes before were luck of slower clients. Clients that come back together after a restart meet the same.

Change: the gateway asks for a queue of 4,096 before it waits for its first read.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -56,6 +56,11 @@
 /// store is complete. Clients wait a second for a connection; a read takes a few milliseconds.
 const FIRST_READ_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Connections that may wait to be accepted; the system may allow fewer. The standard library
+/// asks for 128, which clients that connect again together after a restart exceed. The system then
+/// drops their first packet, and TCP sends it again only a second later.
+const BACKLOG: i32 = 4_096;
+
 /// Interval between checks whether the first read is complete.
 const FIRST_READ_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -91,8 +96,9 @@
     let max_connections = context.max_connections;
     let (stop, notice, grace) = (context.stop.clone(), context.stop_notice, context.stop_grace);
     let (responses, finished) = (context.responses.clone(), context.finished.clone());
-    wait_for_first_read(&context).await;
     let accepting = Socket::from(listener.try_clone()?);
+    accepting.listen(BACKLOG)?;
+    wait_for_first_read(&context).await;
     let http = HttpServiceConfig::new().set_keepalive(KEEP_ALIVE_TIMEOUT).set_headers_read_rate(
         HEADER_TIMEOUT,
         HEADER_TIMEOUT,
