Log the limits that endpoints name

Nothing showed whether a gateway had seen the limit of an endpoint, so the hypotheses of the incident could not be told apart.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -132,6 +132,10 @@
     if let Some(load) = reply.load {
         routing.record_load(&endpoint.id, load);
     }
+    // A refusal tells nothing of a limit unless it names one.
+    if reply.max_rate.is_some() || status.is_success() {
+        routing.record_max_rate(&endpoint.id, reply.max_rate);
+    }
     if reply.is_other_endpoint {
         routing.set_replaced(&endpoint.id);
         routing.record_crash(endpoint);
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -18,6 +18,7 @@
 
 use crate::criteria::Choice;
 use crate::criteria::Criteria;
+use crate::record;
 
 /// How long an endpoint is kept whose announcement is missing after an outage of the store.
 /// Running endpoints announce themselves again within two seconds.
@@ -52,6 +53,8 @@
     missing_until: Option<Duration>,
     /// Whether another endpoint has responded at its address.
     is_replaced: bool,
+    /// Requests per second to which it limits all gateways together, if it does.
+    max_rate: Option<f64>,
 }
 
 impl Endpoints {
@@ -130,6 +133,16 @@
         self.update(id, |tracked| tracked.occupancy.record_report(requests, now));
     }
 
+    /// Records the limit that an endpoint named, in requests per second.
+    pub(crate) fn record_max_rate(&mut self, id: &str, max_rate: Option<f64>) {
+        self.update(id, |tracked| {
+            if tracked.max_rate != max_rate {
+                record::limit(&tracked.endpoint, max_rate);
+                tracked.max_rate = max_rate;
+            }
+        });
+    }
+
     /// Returns the requests that this gateway has in flight at endpoints.
     pub(crate) fn own_loads(&self) -> Sheet {
         let mut sheet = Sheet::default();
@@ -290,6 +303,7 @@
             occupancy: Occupancy::default(),
             missing_until: None,
             is_replaced: false,
+            max_rate: None,
         }
     }
 
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -134,6 +134,14 @@
         .increment(1);
 }
 
+/// Records that an endpoint limits the requests of all gateways to another rate than before, in
+/// requests per second, or no longer does.
+pub(crate) fn limit(endpoint: &Endpoint, max_rate: Option<f64>) {
+    log::info!(endpoint = &*endpoint.id, address:% = endpoint.address, max_rate:?; "endpoint limit");
+    counter!("lycheeknot_gateway_limit_changes_total", "service" => endpoint.service.to_string())
+        .increment(1);
+}
+
 /// Records that requests with certain parts of prompts are refused from now on, or no longer are.
 pub(crate) fn block(block: &Block, is_new: bool) {
     let names: Vec<String> = block.parts.iter().map(|part| format!("{part:x}")).collect();
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -154,6 +154,12 @@
         self.endpoints.lock().record_load(id, requests, self.now());
     }
 
+    /// Records the limit that an endpoint named with a response, in requests per second from all
+    /// gateways together; `None` if it named none.
+    pub(crate) fn record_max_rate(&self, id: &str, max_rate: Option<f64>) {
+        self.endpoints.lock().record_max_rate(id, max_rate);
+    }
+
     /// Returns the requests that this gateway has in flight at endpoints.
     pub(crate) fn own_loads(&self) -> Sheet {
         self.endpoints.lock().own_loads()
--- a/crates/route/src/reply.rs
+++ b/crates/route/src/reply.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 /// Metadata of an endpoint's response, decoded from its status and headers.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Reply {
     /// The id of the request, as the endpoint echoes it.
     pub request_id: Option<Arc<str>>,
@@ -13,6 +13,8 @@
     pub is_other_endpoint: bool,
     /// The endpoint's load, if it reports that.
     pub load: Option<Load>,
+    /// Requests per second that the endpoint takes from all gateways together, if it limits them.
+    pub max_rate: Option<f64>,
 }
 
 /// An endpoint's load at the time of a response.
