--- a/crates/gateway/tests/sessions/main.rs
+++ b/crates/gateway/tests/sessions/main.rs
@@ -3,6 +3,7 @@
 mod copies;
 mod crashes;
 mod endless;
+mod limits;
 mod loads;
 mod requests;
 mod stops;
