Share the rates that endpoints name among all gateways

Callers saw nothing, but an endpoint in need that had named a limit got up to 80 requests in 4 s where 47 may be: nothing read the limit, and no gateway knew what the others send to it.

policy::rate_limit decides without input or output: a gateway sends its part of the limit, by its part of the service's traffic, as far as the exchange of loads tells it of the others; what it doesn't know makes its part smaller. Permits are due at a random phase and lapse, so hundreds of gateways don't save them up, and nothing more is sent while the fleet has sent too much in 4 s. Retries, probes and resumed streams take permits like any request, as all of them are chosen in one place. Where limits alone keep a request from being sent it is refused at once, and told when a permit is due that nobody was told before.

--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -13,11 +13,15 @@
 use policy::outlier::Outliers;
 use policy::outlier::Verdict;
 use policy::popularity::Popularity;
+use policy::quarantine;
+use policy::rate_limit::Limiter;
+use policy::rate_limit::Usage;
 use route::Endpoint;
 use route::endpoint::State;
 
 use crate::criteria::Choice;
 use crate::criteria::Criteria;
+use crate::demand::Demand;
 use crate::record;
 
 /// How long an endpoint is kept whose announcement is missing after an outage of the store.
@@ -30,8 +34,10 @@
 const COPY_MIN_TOKENS: u32 = 512;
 
 /// The known endpoints, their occupancy and outlier ejection.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Endpoints {
+    /// Random bits of this process, which spread its requests at limited endpoints in time.
+    seed: u64,
     /// Whether all announcements have been read once.
     is_loaded: bool,
     /// Until this time an announcement may be missing only because of an outage of the store.
@@ -42,6 +48,8 @@
     outliers: Vec<(Arc<str>, Outliers)>,
     /// How often parts of prompts were seen lately.
     popularity: Popularity,
+    /// Requests for each service lately, sorted by service.
+    demands: Vec<(Arc<str>, Demand)>,
 }
 
 /// An endpoint and what this gateway has observed of it.
@@ -53,11 +61,24 @@
     missing_until: Option<Duration>,
     /// Whether another endpoint has responded at its address.
     is_replaced: bool,
-    /// Requests per second to which it limits all gateways together, if it does.
-    max_rate: Option<f64>,
+    /// Its limit of the requests of all gateways, if it names one.
+    limiter: Limiter,
 }
 
 impl Endpoints {
+    /// Creates a value without endpoints. The seed is another one in each process.
+    pub(crate) fn new(seed: u64) -> Endpoints {
+        Endpoints {
+            seed,
+            is_loaded: false,
+            grace_until: Duration::ZERO,
+            endpoints: Vec::new(),
+            outliers: Vec::new(),
+            popularity: Popularity::default(),
+            demands: Vec::new(),
+        }
+    }
+
     /// Whether all announcements have been read once.
     pub(crate) fn is_loaded(&self) -> bool {
         self.is_loaded
@@ -109,8 +130,15 @@
         self.endpoints.retain(|tracked| tracked.missing_until.is_none_or(|until| now < until));
     }
 
-    /// Chooses the endpoint of a request, and counts the request as in flight there.
-    pub(crate) fn choose(&mut self, criteria: &Criteria<'_>, now: Duration) -> Option<Choice> {
+    /// Chooses the endpoint of a request, and counts the request as in flight there. `gateways` is
+    /// the number of registered gateways.
+    pub(crate) fn choose(
+        &mut self,
+        criteria: &Criteria<'_>,
+        gateways: u32,
+        now: Duration,
+    ) -> Option<Choice> {
+        self.refill(criteria.service, gateways, now);
         if let Some(part) = criteria.part {
             self.popularity.record(part.id, now);
         }
@@ -119,7 +147,10 @@
             None => self.choose_best(criteria, now)?,
         };
         let copy_from = self.copy_source(criteria, &endpoint);
-        self.update(&endpoint.id, |tracked| tracked.occupancy.record_sent());
+        self.update(&endpoint.id, |tracked| {
+            tracked.occupancy.record_sent();
+            tracked.limiter.record_sent(now);
+        });
         Some(Choice { endpoint, copy_from })
     }
 
@@ -133,16 +164,70 @@
         self.update(id, |tracked| tracked.occupancy.record_report(requests, now));
     }
 
+    /// Counts a request for a service, and refills the permits for its limited endpoints.
+    fn refill(&mut self, service: &str, gateways: u32, now: Duration) {
+        let index = match find_service(&self.demands, service) {
+            Ok(index) => index,
+            Err(index) => {
+                self.demands.insert(index, (Arc::from(service), Demand::default()));
+                index
+            }
+        };
+        let requests = &mut self.demands[index].1.requests;
+        requests.add(now);
+        let wanted = requests.count(now);
+        for tracked in self.endpoints.iter_mut().filter(|it| *it.endpoint.service == *service) {
+            tracked.limiter.refill(wanted, gateways, now);
+        }
+    }
+
+    /// Returns after which time a request with these criteria may be sent, if only the limits of
+    /// endpoints keep it from being sent now, and counts its client among those that come back.
+    pub(crate) fn limited_for(
+        &mut self,
+        criteria: &Criteria<'_>,
+        now: Duration,
+    ) -> Option<Duration> {
+        let limited = self.endpoints.iter().filter(|tracked| tracked.is_available(criteria));
+        let permits: Vec<(Duration, f64)> =
+            limited.map(|tracked| tracked.limiter.next_permit()).collect();
+        let first = permits.iter().map(|(wait, _)| *wait).min()?;
+        let rate = permits.iter().map(|(_, rate)| *rate).sum();
+        let index = find_service(&self.demands, criteria.service).ok()?;
+        Some(self.demands[index].1.promises.next(first, rate, now))
+    }
+
     /// Records the limit that an endpoint named, in requests per second.
-    pub(crate) fn record_max_rate(&mut self, id: &str, max_rate: Option<f64>) {
+    pub(crate) fn record_max_rate(&mut self, id: &str, max_rate: Option<f64>, now: Duration) {
         self.update(id, |tracked| {
-            if tracked.max_rate != max_rate {
-                record::limit(&tracked.endpoint, max_rate);
-                tracked.max_rate = max_rate;
+            if tracked.limiter.set_max_rate(max_rate, now) {
+                record::limit(&tracked.endpoint, max_rate, "response");
             }
         });
     }
 
+    /// Returns what this gateway tells others of its requests at limited endpoints.
+    pub(crate) fn own_usage(&self, now: Duration) -> Usage {
+        let mut usage = Usage::default();
+        for tracked in &self.endpoints {
+            let demand = find_service(&self.demands, &tracked.endpoint.service);
+            let wanted = demand.map_or(0, |index| self.demands[index].1.requests.count(now));
+            tracked.limiter.row(wanted, now).into_iter().for_each(|row| usage.add(row));
+        }
+        usage
+    }
+
+    /// Records the requests of other gateways at limited endpoints, and the number of these
+    /// gateways.
+    pub(crate) fn set_other_usage(&mut self, usage: &Usage, gateways: u32, now: Duration) {
+        for tracked in &mut self.endpoints {
+            let row = usage.row(start_id(&tracked.endpoint));
+            if tracked.limiter.learn(row, gateways, now) {
+                record::limit(&tracked.endpoint, tracked.limiter.max_rate(), "gateway");
+            }
+        }
+    }
+
     /// Returns the requests that this gateway has in flight at endpoints.
     pub(crate) fn own_loads(&self) -> Sheet {
         let mut sheet = Sheet::default();
@@ -183,8 +268,8 @@
                 tracked.endpoint = Arc::new(endpoint);
                 tracked.missing_until = None;
             }
-            Ok(index) => self.endpoints[index] = Tracked::new(endpoint),
-            Err(index) => self.endpoints.insert(index, Tracked::new(endpoint)),
+            Ok(index) => self.endpoints[index] = Tracked::new(endpoint, self.seed),
+            Err(index) => self.endpoints.insert(index, Tracked::new(endpoint, self.seed)),
         }
     }
 
@@ -216,7 +301,8 @@
     fn choose_best(&self, criteria: &Criteria<'_>, now: Duration) -> Option<Arc<Endpoint>> {
         let available: Vec<&Tracked> =
             self.endpoints.iter().filter(|tracked| tracked.is_available(criteria)).collect();
-        let healthy = self.without_ejected(criteria.service, available, now);
+        let mut healthy = self.without_ejected(criteria.service, available, now);
+        healthy.retain(|tracked| tracked.limiter.allows());
         let candidates: Vec<choice::Candidate<'_>> = healthy
             .iter()
             .map(|tracked| choice::Candidate {
@@ -244,7 +330,10 @@
         }
         let index = find_service(&self.outliers, criteria.service).ok()?;
         let outliers = &mut self.outliers[index].1;
-        let available = self.endpoints.iter().filter(|tracked| tracked.is_available(criteria));
+        let available = self
+            .endpoints
+            .iter()
+            .filter(|tracked| tracked.is_available(criteria) && tracked.limiter.allows());
         let mut due = available.filter(|tracked| outliers.try_probe(&tracked.endpoint.id, now));
         due.next().map(|tracked| Arc::clone(&tracked.endpoint))
     }
@@ -296,14 +385,14 @@
 }
 
 impl Tracked {
-    fn new(endpoint: Endpoint) -> Tracked {
+    fn new(endpoint: Endpoint, seed: u64) -> Tracked {
         let endpoint = Arc::new(endpoint);
         Tracked {
+            limiter: Limiter::new(start_id(&endpoint), seed),
             endpoint,
             occupancy: Occupancy::default(),
             missing_until: None,
             is_replaced: false,
-            max_rate: None,
         }
     }
 
@@ -317,6 +406,10 @@
     }
 }
 
-fn find_service(outliers: &[(Arc<str>, Outliers)], service: &str) -> Result<usize, usize> {
-    outliers.binary_search_by(|(name, _)| (**name).cmp(service))
+fn find_service<T>(services: &[(Arc<str>, T)], service: &str) -> Result<usize, usize> {
+    services.binary_search_by(|(name, _)| (**name).cmp(service))
+}
+
+fn start_id(endpoint: &Endpoint) -> quarantine::StartId {
+    quarantine::start_id(&endpoint.id, endpoint.started_ms)
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -70,7 +70,9 @@
     loop {
         let last_event = request.metadata.last_event;
         let Some(outcome) = send_next(worker, request, attempts, last_event).await else {
-            return attempts.result();
+            return attempts
+                .result()
+                .map_err(|refusal| explain(worker, request, attempts, refusal));
         };
         let is_retried = match outcome {
             Outcome::Stream(start) => {
@@ -136,16 +138,30 @@
 
 /// Chooses the endpoint of the next attempt, and counts the request as in flight there.
 fn choose_next(worker: &Worker, request: &Request, attempts: &Attempts) -> Option<Choice> {
+    worker.context.routing.choose(&criteria(worker, request, attempts))
+}
+
+/// Returns what is required of the endpoint of the next attempt.
+fn criteria<'a>(worker: &'a Worker, request: &'a Request, attempts: &'a Attempts) -> Criteria<'a> {
     let seed = rand::rng().random();
-    let criteria = Criteria {
+    Criteria {
         service: &request.service,
         centre: &worker.context.centre,
         tried: &attempts.tried,
         part: request.metadata.shared_part(),
         can_probe: request.rule.kind.is_repeatable() || seed % PROBE_ONE_IN == 0,
         seed,
-    };
-    worker.context.routing.choose(&criteria)
+    }
+}
+
+/// Turns the refusal of a request for which no endpoint is left into one for limits if these are
+/// the cause.
+fn explain(worker: &Worker, request: &Request, attempts: &Attempts, refusal: Refusal) -> Refusal {
+    let limited_for = || worker.context.routing.limited_for(&criteria(worker, request, attempts));
+    match refusal {
+        Refusal::NotRun => limited_for().map_or(Refusal::NotRun, Refusal::Limited),
+        other => other,
+    }
 }
 
 /// Decides whether a request that may have run is sent once more, and spends a retry if so.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod context;
 mod crash_check;
 mod criteria;
+mod demand;
 mod endpoints;
 mod events;
 mod feed;
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -15,6 +15,7 @@
 mod stored;
 
 pub(crate) use exchange::Exchange;
+pub(crate) use exchange::Own;
 pub(crate) use fetch::fetch;
 pub(crate) use follower::Follower;
 pub use loads::share_loads;
--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -5,8 +5,19 @@
 use policy::exchange::Ledger;
 use policy::exchange::Report;
 use policy::exchange::Sheet;
+use policy::rate_limit;
+use policy::rate_limit::Usage;
 use rpc::view::Loads;
 
+/// The requests of this gateway itself.
+#[derive(Debug, Default)]
+pub(crate) struct Own {
+    /// Those in flight.
+    pub(crate) loads: Sheet,
+    /// Those at limited endpoints lately.
+    pub(crate) usage: Usage,
+}
+
 /// The reports of this gateway's members, which report to it, and of other hubs.
 #[derive(Debug)]
 pub(crate) struct Exchange {
@@ -16,6 +27,8 @@
     sequence: u64,
     members: Ledger,
     hubs: Ledger,
+    members_usage: rate_limit::Ledger,
+    hubs_usage: rate_limit::Ledger,
 }
 
 impl Exchange {
@@ -27,6 +40,8 @@
             sequence: 0,
             members: Ledger::default(),
             hubs: Ledger::default(),
+            members_usage: rate_limit::Ledger::default(),
+            hubs_usage: rate_limit::Ledger::default(),
         }
     }
 
@@ -43,30 +58,53 @@
         }
     }
 
-    /// Takes the report of a member; returns the requests of all others. `None` if it isn't valid.
+    /// Returns a report of this gateway's requests at limited endpoints, and of those that members
+    /// have reported.
+    pub(crate) fn usage_report(&self, own: Usage, now: Duration) -> rate_limit::Report {
+        rate_limit::Report { own, members: self.members_usage.own(now) }
+    }
+
+    /// Takes the reports of a member; returns the requests of all others. `None` if it isn't valid.
     pub(crate) fn take_member(
         &mut self,
         report: Report,
-        own: &Sheet,
+        usage: rate_limit::Report,
+        own: &Own,
         now: Duration,
-    ) -> Option<Loads> {
+    ) -> Option<(Loads, Usage)> {
         let vm = report.vm.clone();
         take(&mut self.members, report, now)?;
-        let mut loads = self.all_but(&vm, now);
-        loads.sheet.add_all(own);
+        self.members_usage.record(&vm, usage, now);
+        let (mut loads, mut usage) = self.all_but(&vm, now);
+        loads.sheet.add_all(&own.loads);
         loads.gateways = loads.gateways.saturating_add(1);
-        Some(loads)
+        usage.add_all(&own.usage, Duration::ZERO);
+        Some((loads, usage))
     }
 
-    /// Takes the report of another hub; returns this gateway's. `None` if it isn't valid.
-    pub(crate) fn take_hub(&mut self, report: Report, own: Sheet, now: Duration) -> Option<Report> {
-        self.record_hub(report, now)?;
-        Some(self.next_report(own, now))
+    /// Takes the reports of another hub; returns this gateway's. `None` if it isn't valid.
+    pub(crate) fn take_hub(
+        &mut self,
+        report: Report,
+        usage: rate_limit::Report,
+        own: Own,
+        now: Duration,
+    ) -> Option<(Report, rate_limit::Report)> {
+        self.record_hub(report, usage, now)?;
+        Some((self.next_report(own.loads, now), self.usage_report(own.usage, now)))
     }
 
-    /// Records the report of another hub. `None` if it isn't valid.
-    pub(crate) fn record_hub(&mut self, report: Report, now: Duration) -> Option<()> {
-        take(&mut self.hubs, report, now)
+    /// Records the reports of another hub. `None` if it isn't valid.
+    pub(crate) fn record_hub(
+        &mut self,
+        report: Report,
+        usage: rate_limit::Report,
+        now: Duration,
+    ) -> Option<()> {
+        let vm = report.vm.clone();
+        take(&mut self.hubs, report, now)?;
+        self.hubs_usage.record(&vm, usage, now);
+        Some(())
     }
 
     /// Whether another hub has just started, or isn't known.
@@ -75,16 +113,18 @@
     }
 
     /// Returns the requests of all other gateways.
-    pub(crate) fn others(&self, now: Duration) -> Loads {
+    pub(crate) fn others(&self, now: Duration) -> (Loads, Usage) {
         self.all_but(&self.vm, now)
     }
 
-    fn all_but(&self, vm: &str, now: Duration) -> Loads {
+    fn all_but(&self, vm: &str, now: Duration) -> (Loads, Usage) {
         let mut sheet = self.members.all_but(vm, now);
         sheet.add_all(&self.hubs.all_but(vm, now));
         let members = self.members.gateways_but(vm, now);
         let gateways = members.saturating_add(self.hubs.gateways_but(vm, now));
-        Loads { sheet, gateways }
+        let mut usage = self.members_usage.all_but(vm, now);
+        usage.add_all(&self.hubs_usage.all_but(vm, now), Duration::ZERO);
+        (Loads { sheet, gateways }, usage)
     }
 }
 
--- a/crates/gateway/src/peer/loads.rs
+++ b/crates/gateway/src/peer/loads.rs
@@ -6,6 +6,8 @@
 use futures_util::future::join_all;
 use parking_lot::Mutex;
 use policy::exchange::Report;
+use policy::rate_limit;
+use policy::rate_limit::Usage;
 use policy::relay::Duty;
 use rand::RngExt;
 use rpc::Error;
@@ -62,7 +64,7 @@
         let peers = self.peers;
         for hub in peers.relays(Duty::Loads) {
             match self.report(&hub).await {
-                Ok(loads) => return self.apply(&loads),
+                Ok((loads, usage)) => return self.apply(&loads, &usage),
                 Err(error) => self.failed(&hub, &error),
             }
         }
@@ -72,16 +74,16 @@
         // The answer to a swap is the other hub's report, so only one of two hubs calls.
         let called = hubs.iter().filter(|hub| own.vm < hub.vm);
         join_all(called.map(|hub| self.swap(hub))).await;
-        let others = peers.exchange().others(peers.routing().now());
-        self.apply(&others);
+        let (loads, usage) = peers.exchange().others(peers.routing().now());
+        self.apply(&loads, &usage);
     }
 
     /// Reports to a hub; returns the loads of all others.
-    async fn report(&self, hub: &Member) -> Result<Loads, Error> {
+    async fn report(&self, hub: &Member) -> Result<(Loads, Usage), Error> {
         let message = self.next_message(false);
         let answer = self.client(hub).await?.report(&message, ANSWER_TIMEOUT).await?;
         self.peers.routing().learn_crashes(&answer.crashes);
-        Ok(answer.loads)
+        Ok((answer.loads, answer.usage))
     }
 
     /// Exchanges sums with another hub.
@@ -93,7 +95,7 @@
         match swapped.await {
             Ok(answer) => {
                 routing.learn_crashes(&answer.crashes);
-                self.peers.exchange().record_hub(answer.loads, routing.now());
+                self.peers.exchange().record_hub(answer.loads, answer.usage, routing.now());
             }
             Err(error) => self.failed(hub, &error),
         }
@@ -101,18 +103,21 @@
 
     /// Returns this gateway's next report, with what a gateway should know of crashes; `is_new`
     /// if that one has just started.
-    fn next_message(&self, is_new: bool) -> Message<Report> {
+    fn next_message(&self, is_new: bool) -> Message<Report, rate_limit::Report> {
         let routing = self.peers.routing();
         // Taken first, so that the locks of the routing aren't taken under that of the exchange.
-        let own = routing.own_loads();
-        let crashes = routing.crashes(is_new);
-        Message { loads: self.peers.exchange().next_report(own, routing.now()), crashes }
+        let (own, own_usage) = (routing.own_loads(), routing.own_usage());
+        let (crashes, now) = (routing.crashes(is_new), routing.now());
+        let mut exchange = self.peers.exchange();
+        let usage = exchange.usage_report(own_usage, now);
+        Message { loads: exchange.next_report(own, now), crashes, usage }
     }
 
-    /// Uses the loads of the other gateways for the choice of endpoints.
-    fn apply(&self, loads: &Loads) {
+    /// Uses the requests of the other gateways for the choice of endpoints.
+    fn apply(&self, loads: &Loads, usage: &Usage) {
         record::known_loads(loads.gateways);
         self.peers.routing().set_other_loads(&loads.sheet, loads.gateways);
+        self.peers.routing().set_other_usage(usage, loads.gateways);
     }
 
     fn failed(&self, hub: &Member, error: &Error) {
--- a/crates/gateway/src/peer/peers.rs
+++ b/crates/gateway/src/peer/peers.rs
@@ -10,6 +10,8 @@
 use parking_lot::MutexGuard;
 use policy::exchange::Report;
 use policy::quarantine::Digest;
+use policy::rate_limit;
+use policy::rate_limit::Usage;
 use policy::relay::Candidate;
 use policy::relay::Duty;
 use policy::relay::Failures;
@@ -26,6 +28,7 @@
 use crate::peer::Exchange;
 use crate::peer::Member;
 use crate::peer::Mirror;
+use crate::peer::Own;
 
 /// Most addresses of other peers in an answer, so that it stays small in a large fleet.
 const MAX_ADDRESSES: usize = 8;
@@ -190,6 +193,11 @@
         &self.routing
     }
 
+    /// Returns this gateway's own requests. The lock of the exchange must not be held.
+    fn own_requests(&self) -> Own {
+        Own { loads: self.routing.own_loads(), usage: self.routing.own_usage() }
+    }
+
     fn failures(&self, duty: Duty) -> &Mutex<Failures> {
         match duty {
             Duty::Store => &self.store_failures,
@@ -233,14 +241,18 @@
         changes.boxed()
     }
 
-    fn report(&self, report: Report) -> Option<Loads> {
-        let own = self.routing.own_loads();
-        self.exchange.lock().take_member(report, &own, self.routing.now())
+    fn report(&self, report: Report, usage: rate_limit::Report) -> Option<(Loads, Usage)> {
+        let own = self.own_requests();
+        self.exchange.lock().take_member(report, usage, &own, self.routing.now())
     }
 
-    fn swap(&self, report: Report) -> Option<Report> {
-        let own = self.routing.own_loads();
-        self.exchange.lock().take_hub(report, own, self.routing.now())
+    fn swap(
+        &self,
+        report: Report,
+        usage: rate_limit::Report,
+    ) -> Option<(Report, rate_limit::Report)> {
+        let own = self.own_requests();
+        self.exchange.lock().take_hub(report, usage, own, self.routing.now())
     }
 
     fn learn_crashes(&self, crashes: &Digest) {
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -135,9 +135,10 @@
 }
 
 /// Records that an endpoint limits the requests of all gateways to another rate than before, in
-/// requests per second, or no longer does.
-pub(crate) fn limit(endpoint: &Endpoint, max_rate: Option<f64>) {
-    log::info!(endpoint = &*endpoint.id, address:% = endpoint.address, max_rate:?; "endpoint limit");
+/// requests per second, or no longer does. `source` tells from where that is known.
+pub(crate) fn limit(endpoint: &Endpoint, max_rate: Option<f64>, source: &str) {
+    log::info!(endpoint = &*endpoint.id, address:% = endpoint.address, max_rate:?, source;
+        "endpoint limit");
     counter!("lycheeknot_gateway_limit_changes_total", "service" => endpoint.service.to_string())
         .increment(1);
 }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -26,6 +26,8 @@
     BadBody,
     /// no endpoint takes work now; it did not run, come back later
     NotRun,
+    /// all endpoints have reached the limits that they named; it did not run, come back later
+    Limited(Duration),
     /// a part of its prompt has crashed endpoints; it did not run, send another one
     Quarantined(Duration),
     /// an endpoint broke off; it may have run
@@ -49,6 +51,7 @@
             Refusal::TooLong => "too_long",
             Refusal::BadBody => "bad_body",
             Refusal::NotRun => "not_run",
+            Refusal::Limited(_) => "limited",
             Refusal::Quarantined(_) => "quarantined",
             Refusal::Unknown => "unknown",
             Refusal::Late => "late",
@@ -58,9 +61,11 @@
     /// Returns the HTTP status of the response.
     pub(crate) fn status(self) -> StatusCode {
         match self {
-            Refusal::NoTable | Refusal::Closing | Refusal::NotRun | Refusal::Quarantined(_) => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Refusal::NoTable
+            | Refusal::Closing
+            | Refusal::NotRun
+            | Refusal::Limited(_)
+            | Refusal::Quarantined(_) => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::NoRoute => StatusCode::NOT_FOUND,
             Refusal::NoAccount => StatusCode::UNAUTHORIZED,
             Refusal::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
@@ -73,7 +78,7 @@
     /// Returns after which time the client may send the request again.
     fn retry_delay(self) -> Duration {
         match self {
-            Refusal::Quarantined(left) => left,
+            Refusal::Limited(left) | Refusal::Quarantined(left) => left,
             _ => RETRY_DELAY,
         }
     }
@@ -83,7 +88,9 @@
         let mut response = HttpResponse::build(self.status());
         response.set_header(CONTENT_TYPE, "text/plain; charset=utf-8");
         if self.status() == StatusCode::SERVICE_UNAVAILABLE {
-            response.set_header(RETRY_AFTER, format!("{:.1}", self.retry_delay().as_secs_f64()));
+            // Rounded up, so that a client doesn't come back before the time.
+            let tenths = self.retry_delay().as_millis().div_ceil(100);
+            response.set_header(RETRY_AFTER, format!("{}.{}", tenths / 10, tenths % 10));
         }
         if matches!(self, Refusal::Closing | Refusal::TooLong | Refusal::BadBody) {
             // Unread bytes of the body may be left on the connection, or the process is stopping.
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -15,6 +15,8 @@
 use policy::quarantine::Digest;
 use policy::quarantine::StartId;
 use policy::quarantine::Suspect;
+use policy::rate_limit::Usage;
+use rand::RngExt;
 use route::Endpoint;
 use route::Table;
 use route::reply::Load;
@@ -42,7 +44,7 @@
         Routing {
             start: Instant::now(),
             table: RwLock::default(),
-            endpoints: Mutex::default(),
+            endpoints: Mutex::new(Endpoints::new(rand::rng().random())),
             quarantine: Quarantine::default(),
             gateways: AtomicU32::default(),
         }
@@ -140,7 +142,7 @@
     /// Chooses the endpoint of a request, and counts the request as in flight there until
     /// [`Routing::request_ended`] is called.
     pub(crate) fn choose(&self, criteria: &Criteria<'_>) -> Option<Choice> {
-        self.endpoints.lock().choose(criteria, self.now())
+        self.endpoints.lock().choose(criteria, self.gateways(), self.now())
     }
 
     /// Records the end of a request at an endpoint.
@@ -157,7 +159,24 @@
     /// Records the limit that an endpoint named with a response, in requests per second from all
     /// gateways together; `None` if it named none.
     pub(crate) fn record_max_rate(&self, id: &str, max_rate: Option<f64>) {
-        self.endpoints.lock().record_max_rate(id, max_rate);
+        self.endpoints.lock().record_max_rate(id, max_rate, self.now());
+    }
+
+    /// Returns after which time a request with these criteria may be sent, if only the limits of
+    /// endpoints keep it from being sent now, and counts its client among those that come back.
+    pub(crate) fn limited_for(&self, criteria: &Criteria<'_>) -> Option<Duration> {
+        self.endpoints.lock().limited_for(criteria, self.now())
+    }
+
+    /// Returns what this gateway tells others of its requests at limited endpoints.
+    pub(crate) fn own_usage(&self) -> Usage {
+        self.endpoints.lock().own_usage(self.now())
+    }
+
+    /// Records the requests of other gateways at limited endpoints, and the number of these
+    /// gateways.
+    pub(crate) fn set_other_usage(&self, usage: &Usage, gateways: u32) {
+        self.endpoints.lock().set_other_usage(usage, gateways, self.now());
     }
 
     /// Returns the requests that this gateway has in flight at endpoints.
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -18,6 +18,7 @@
 use gateway::Routing;
 use platform::Codec;
 use policy::exchange::Report;
+use policy::rate_limit;
 use rpc::view::Cursor;
 use rpc::view::Snapshot;
 use rpc::view::Source;
@@ -235,7 +236,10 @@
 fn a_report_with_an_impossible_number_of_gateways_stops_no_exchange() {
     let peers = Peers::new(Arc::default(), member("g1", free_address()), 1, Vec::new());
     let report = |vm: &str| Report { vm: vm.to_owned(), gateways: u32::MAX, ..Report::default() };
-    assert!(peers.swap(report("hub")).is_some());
-    assert!(peers.report(report("member")).is_some());
-    assert_eq!(peers.report(report("another")).map(|loads| loads.gateways), Some(u32::MAX));
+    assert!(peers.swap(report("hub"), rate_limit::Report::default()).is_some());
+    assert!(peers.report(report("member"), rate_limit::Report::default()).is_some());
+    let loads = peers
+        .report(report("another"), rate_limit::Report::default())
+        .map(|(loads, _)| loads.gateways);
+    assert_eq!(loads, Some(u32::MAX));
 }
--- a/crates/gateway/tests/sessions/loads.rs
+++ b/crates/gateway/tests/sessions/loads.rs
@@ -12,6 +12,7 @@
 use policy::exchange;
 use policy::exchange::Report;
 use policy::exchange::Sheet;
+use policy::rate_limit;
 use rpc::view::Source;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
@@ -78,7 +79,8 @@
                     members: Sheet::default(),
                     gateways: 1,
                 };
-                to.report(report).expect("a report that is in order");
+                let usage = rate_limit::Report::default();
+                to.report(report, usage).expect("a report that is in order");
                 sleep(Duration::from_millis(100)).await;
             }
         }));
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod placement;
 pub mod popularity;
 pub mod quarantine;
+pub mod rate_limit;
 pub mod relay;
 pub mod retry;
 pub mod revision;
--- /dev/null
+++ b/crates/policy/src/rate_limit.rs
@@ -0,0 +1,32 @@
+//! Rate limits of endpoints, shared by all gateways.
+//!
+//! An endpoint may name the rate at which it takes requests from all gateways together. Each
+//! gateway sends its part of that rate, by its part of the service's traffic, as far as it knows
+//! what the others send. What it doesn't know of them makes its part smaller, never larger.
+//! Retries, probes and resumed streams count like any request.
+//! See `docs/decisions/rate-limits.md`.
+
+mod bucket;
+mod ledger;
+mod limiter;
+mod promises;
+mod usage;
+mod window;
+
+use std::time::Duration;
+
+pub use bucket::Bucket;
+pub use ledger::Ledger;
+pub use ledger::Report;
+pub use limiter::Limiter;
+pub use promises::Promises;
+pub use usage::Row;
+pub use usage::Usage;
+pub use window::Window;
+
+/// Requests are counted over the latest span of this length.
+pub const SPAN: Duration = Duration::from_secs(4);
+
+/// Lowest rate, in requests per second, at which requests are sent to an endpoint whatever it names:
+/// only its responses tell that a limit has ended.
+pub const MIN_RATE: f64 = 0.2;
--- /dev/null
+++ b/crates/policy/src/rate_limit/promises.rs
@@ -0,0 +1,32 @@
+//! Times at which refused clients were told to come back.
+
+use std::time::Duration;
+
+/// Most times that are kept; later clients are told the last one.
+const MAX_PROMISES: usize = 4_096;
+
+/// Clients of a service that were refused for a limit and told when to come back.
+///
+/// Each of them takes a permit of its own, so each further one is told a later time.
+#[derive(Debug, Clone, Default)]
+pub struct Promises {
+    /// Sorted.
+    times: Vec<Duration>,
+}
+
+impl Promises {
+    /// Returns when the next client should come back, and counts it. Permits come at a rate in
+    /// permits per second, the first of them after `first`.
+    pub fn next(&mut self, first: Duration, rate: f64, now: Duration) -> Duration {
+        let passed = self.times.partition_point(|time| *time <= now);
+        self.times.drain(..passed);
+        let ahead = self.times.len() as f64 / rate;
+        let delay = first.saturating_add(Duration::try_from_secs_f64(ahead).unwrap_or_default());
+        if self.times.len() < MAX_PROMISES {
+            let time = now.saturating_add(delay);
+            let index = self.times.partition_point(|known| *known <= time);
+            self.times.insert(index, time);
+        }
+        delay
+    }
+}
--- a/crates/rpc/src/view.rs
+++ b/crates/rpc/src/view.rs
@@ -16,6 +16,8 @@
 use policy::exchange::Report;
 use policy::exchange::Sheet;
 use policy::quarantine::Digest;
+use policy::rate_limit;
+use policy::rate_limit::Usage;
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -83,24 +85,30 @@
     pub gateways: u32,
 }
 
-/// A message in the exchange of loads. Builds without crashes read and send only the loads, which
-/// come first.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Message<T> {
+/// A message in the exchange of loads: a [`Report`] with a [`rate_limit::Report`], or [`Loads`] with
+/// [`Usage`]. Older builds read and send only the first fields.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Message<T, U> {
     /// The loads.
     pub loads: T,
     /// What the sender knows of crashed endpoints.
     pub crashes: Digest,
+    /// Requests at endpoints that limit them.
+    pub usage: U,
 }
 
-impl<T: DeserializeOwned> Message<T> {
+impl<T: DeserializeOwned, U: DeserializeOwned + Default> Message<T, U> {
     /// Decodes a message of any build; `None` if that fails.
-    fn decode(text: &str) -> Option<Message<T>> {
+    fn decode(text: &str) -> Option<Message<T, U>> {
+        let without_usage = || {
+            let (loads, crashes) = packet::decode(text)?;
+            Some(Message { loads, crashes, usage: U::default() })
+        };
         let without_crashes = || {
             let loads = packet::decode(text)?;
-            Some(Message { loads, crashes: Digest::default() })
+            Some(Message { loads, crashes: Digest::default(), usage: U::default() })
         };
-        packet::decode(text).or_else(without_crashes)
+        packet::decode(text).or_else(without_usage).or_else(without_crashes)
     }
 }
 
@@ -113,13 +121,17 @@
     /// longer than `wait`.
     fn changes(&self, after: Cursor, wait: Duration) -> BoxFuture<'_, Delta>;
 
-    /// Takes the report of a gateway that reports to this one; returns the requests of all
+    /// Takes the reports of a gateway that reports to this one; returns the requests of all
     /// others. `None` if the report is not valid.
-    fn report(&self, report: Report) -> Option<Loads>;
+    fn report(&self, report: Report, usage: rate_limit::Report) -> Option<(Loads, Usage)>;
 
-    /// Takes the report of a gateway that others report to, and returns this one's. `None` if
+    /// Takes the reports of a gateway that others report to, and returns this one's. `None` if
     /// the report is not valid.
-    fn swap(&self, report: Report) -> Option<Report>;
+    fn swap(
+        &self,
+        report: Report,
+        usage: rate_limit::Report,
+    ) -> Option<(Report, rate_limit::Report)>;
 
     /// Learns of crashes that a peer knows.
     fn learn_crashes(&self, crashes: &Digest);
@@ -172,15 +184,17 @@
     }
 
     async fn report(&self, report: String) -> RpcResult<String> {
-        let (report, is_new) = self.read_report(&report)?;
-        let loads = self.source.report(report).ok_or_else(invalid_report)?;
-        Ok(packet::encode(&Message { loads, crashes: self.source.crashes(is_new) }))
+        let (report, usage) = self.read_report(&report)?;
+        let is_new = report.is_new();
+        let (loads, usage) = self.source.report(report, usage).ok_or_else(invalid_report)?;
+        Ok(packet::encode(&Message { loads, crashes: self.source.crashes(is_new), usage }))
     }
 
     async fn swap(&self, report: String) -> RpcResult<String> {
-        let (report, is_new) = self.read_report(&report)?;
-        let loads = self.source.swap(report).ok_or_else(invalid_report)?;
-        Ok(packet::encode(&Message { loads, crashes: self.source.crashes(is_new) }))
+        let (report, usage) = self.read_report(&report)?;
+        let is_new = report.is_new();
+        let (loads, usage) = self.source.swap(report, usage).ok_or_else(invalid_report)?;
+        Ok(packet::encode(&Message { loads, crashes: self.source.crashes(is_new), usage }))
     }
 }
 
@@ -190,22 +204,24 @@
 }
 
 impl Methods {
-    /// Decodes a report, checks its size, and learns of the crashes that come with it. Returns the
-    /// report and whether its sender has just started.
-    fn read_report(&self, text: &str) -> RpcResult<(Report, bool)> {
-        let message = Message::<Report>::decode(text);
-        let Message { loads: report, crashes } =
+    /// Decodes reports, checks their size, and learns of the crashes that come with them.
+    fn read_report(&self, text: &str) -> RpcResult<(Report, rate_limit::Report)> {
+        let message = Message::<Report, rate_limit::Report>::decode(text);
+        let Message { loads: report, crashes, usage } =
             message.ok_or_else(|| limit::invalid("the argument can't be read"))?;
         let rows = report.own.len() + report.members.len();
+        let rows = rows.max(usage.own.len() + usage.members.len());
         if rows > limit::MAX_ROWS || report.vm.len() > limit::VM_MAX_BYTES {
             return Err(limit::invalid("the report is too long"));
         }
         if !crashes.is_valid() {
             return Err(limit::invalid("the crashes are too many or not in order"));
         }
+        if !usage.own.is_valid() || !usage.members.is_valid() {
+            return Err(limit::invalid("the rows of limited endpoints are not in order"));
+        }
         self.source.learn_crashes(&crashes);
-        let is_new = report.is_new();
-        Ok((report, is_new))
+        Ok((report, usage))
     }
 }
 
--- a/crates/rpc/src/view/client.rs
+++ b/crates/rpc/src/view/client.rs
@@ -6,6 +6,8 @@
 use jsonrpsee::core::ClientError;
 use jsonrpsee::ws_client::WsClient;
 use policy::exchange::Report;
+use policy::rate_limit;
+use policy::rate_limit::Usage;
 use serde::de::DeserializeOwned;
 use tokio::time;
 
@@ -86,13 +88,13 @@
     /// [`Error::Refused`] if the peer refused the call or its answer is malformed.
     pub async fn report(
         &self,
-        report: &Message<Report>,
+        report: &Message<Report, rate_limit::Report>,
         answer_timeout: Duration,
-    ) -> Result<Message<Loads>, Error> {
+    ) -> Result<Message<Loads, Usage>, Error> {
         let call = self.client.report(packet::encode(report));
         let answer = self.text(time::timeout(answer_timeout, call).await)?;
-        let message: Message<Loads> = self.message(&answer)?;
-        if !message.loads.sheet.is_valid() {
+        let message: Message<Loads, Usage> = self.message(&answer)?;
+        if !message.loads.sheet.is_valid() || !message.usage.is_valid() {
             return Err(Error::Refused(self.peer, "its rows are not in order".to_owned()));
         }
         Ok(message)
@@ -105,16 +107,24 @@
     /// As for [`Client::report`].
     pub async fn swap(
         &self,
-        report: &Message<Report>,
+        report: &Message<Report, rate_limit::Report>,
         answer_timeout: Duration,
-    ) -> Result<Message<Report>, Error> {
+    ) -> Result<Message<Report, rate_limit::Report>, Error> {
         let call = self.client.swap(packet::encode(report));
         let answer = self.text(time::timeout(answer_timeout, call).await)?;
-        self.message(&answer)
+        let message: Message<Report, rate_limit::Report> = self.message(&answer)?;
+        if !message.usage.own.is_valid() || !message.usage.members.is_valid() {
+            return Err(Error::Refused(self.peer, "its rows are not in order".to_owned()));
+        }
+        Ok(message)
     }
 
     /// Decodes a message of the exchange of loads.
-    fn message<T: DeserializeOwned>(&self, answer: &str) -> Result<Message<T>, Error> {
+    fn message<T, U>(&self, answer: &str) -> Result<Message<T, U>, Error>
+    where
+        T: DeserializeOwned,
+        U: DeserializeOwned + Default,
+    {
         let message = Message::decode(answer).filter(|message| message.crashes.is_valid());
         message.ok_or_else(|| Error::Refused(self.peer, "its answer is malformed".to_owned()))
     }
--- a/crates/rpc/tests/view.rs
+++ b/crates/rpc/tests/view.rs
@@ -16,6 +16,9 @@
 use policy::exchange::Sheet;
 use policy::quarantine::Digest;
 use policy::quarantine::Suspect;
+use policy::rate_limit;
+use policy::rate_limit::Row;
+use policy::rate_limit::Usage;
 use rpc::Error;
 use rpc::view::Answer;
 use rpc::view::Client;
@@ -53,15 +56,20 @@
         .boxed()
     }
 
-    fn report(&self, report: Report) -> Option<Loads> {
+    fn report(&self, report: Report, usage: rate_limit::Report) -> Option<(Loads, Usage)> {
         if report.vm == "unsorted" {
-            return Some(Loads { sheet: unsorted(), gateways: 1 });
+            return Some((Loads { sheet: unsorted(), gateways: 1 }, Usage::default()));
         }
-        (report.vm == "valid").then_some(Loads { sheet: report.own, gateways: 3 })
+        let loads = Loads { sheet: report.own, gateways: 3 };
+        (report.vm == "valid").then_some((loads, usage.own))
     }
 
-    fn swap(&self, report: Report) -> Option<Report> {
-        (report.vm == "valid").then_some(report)
+    fn swap(
+        &self,
+        report: Report,
+        usage: rate_limit::Report,
+    ) -> Option<(Report, rate_limit::Report)> {
+        (report.vm == "valid").then_some((report, usage))
     }
 
     fn learn_crashes(&self, crashes: &Digest) {
@@ -86,8 +94,9 @@
     Report { vm: vm.to_owned(), own, ..Report::default() }
 }
 
-fn message(vm: &str, rows: u32) -> Message<Report> {
-    Message { loads: report(vm, rows), crashes: Digest::default() }
+fn message(vm: &str, rows: u32) -> Message<Report, rate_limit::Report> {
+    let usage = rate_limit::Report::default();
+    Message { loads: report(vm, rows), crashes: Digest::default(), usage }
 }
 
 /// Returns crashes of several endpoints by the same part of a prompt.
@@ -144,18 +153,59 @@
 #[tokio::test]
 async fn a_peer_that_has_just_started_is_told_of_crashes_and_an_old_one_only_of_news() {
     let (client, stop) = connect().await;
-    let told = Message { loads: report("valid", 1), crashes: crashes(4) };
+    let told = Message { crashes: crashes(4), ..message("valid", 1) };
     let answer = client.report(&told, ANSWER_TIMEOUT).await;
     assert_eq!(answer.map(|answer| answer.crashes), Ok(crashes(4)));
     let mut old = told.clone();
     old.loads.sequence = 1_000;
     let answer = client.swap(&old, ANSWER_TIMEOUT).await;
     assert_eq!(answer.map(|answer| answer.crashes), Ok(Digest::default()));
-    let too_many = Message { loads: report("valid", 1), crashes: crashes(17) };
+    let too_many = Message { crashes: crashes(17), ..message("valid", 1) };
     assert!(is_refused(&client.report(&too_many, ANSWER_TIMEOUT).await));
     stop.cancel();
 }
 
+/// Returns requests at endpoints that name this limit.
+fn usage(endpoints: std::ops::Range<u64>, max_rate: f64) -> Usage {
+    let mut usage = Usage::default();
+    for endpoint in endpoints {
+        let (max_rate, age) = (Some(max_rate), Duration::from_millis(40));
+        usage.add(Row { endpoint, max_rate, age, sent: 2, wanted: 9 });
+    }
+    usage
+}
+
+#[tokio::test]
+async fn requests_at_limited_endpoints_are_exchanged_and_impossible_limits_refused() {
+    let (client, stop) = connect().await;
+    let told = |own: Usage| {
+        let usage = rate_limit::Report { own: own.clone(), members: own };
+        Message { usage, ..message("valid", 1) }
+    };
+    let answer = client.report(&told(usage(0..3, 6.5)), ANSWER_TIMEOUT).await;
+    assert_eq!(answer.map(|answer| answer.usage), Ok(usage(0..3, 6.5)));
+    let answer = client.swap(&told(usage(0..3, 6.5)), ANSWER_TIMEOUT).await;
+    assert_eq!(answer, Ok(told(usage(0..3, 6.5))));
+    for own in [usage(0..3, f64::NAN), usage(0..3, -1.0), usage(0..9_000, 1.0)] {
+        assert!(is_refused(&client.report(&told(own.clone()), MAX_WAIT).await));
+        assert!(is_refused(&client.swap(&told(own), MAX_WAIT).await));
+    }
+    stop.cancel();
+}
+
+#[tokio::test]
+async fn builds_without_limits_exchange_crashes_with_this_one() {
+    let (address, stop) = serve().await;
+    let client = WsClientBuilder::default().build(format!("ws://{address}")).await;
+    let sent = (report("valid", 2), crashes(4));
+    let own = BASE64_STANDARD_NO_PAD.encode(postcard::to_stdvec(&sent).expect("bytes"));
+    let answer = ViewClient::report(&client.expect("a client"), own).await.expect("an answer");
+    let bytes = BASE64_STANDARD_NO_PAD.decode(answer).expect("bytes");
+    let (loads, told): (Loads, Digest) = postcard::from_bytes(&bytes).expect("an answer");
+    assert_eq!((loads.gateways, told), (3, crashes(4)));
+    stop.cancel();
+}
+
 #[tokio::test]
 async fn builds_without_crashes_exchange_loads_with_this_one() {
     let (address, stop) = serve().await;
