Use permits of limited endpoints while others have no free slot

A gateway of 68 holds two permits at a time, and placed requests by their parts, so the permits lapsed.

--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -310,6 +310,7 @@
                 requests: tracked.occupancy.requests(now),
                 slots: tracked.endpoint.slots,
                 is_far: *tracked.endpoint.centre != *criteria.centre,
+                is_limited: tracked.limiter.max_rate().is_some(),
             })
             .collect();
         let query = choice::Query {
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -59,6 +59,8 @@
     pub slots: Option<u32>,
     /// Whether it is in another data centre.
     pub is_far: bool,
+    /// Whether it limits the rate of requests, and one may be sent to it now.
+    pub is_limited: bool,
 }
 
 /// The request's properties from which endpoints are ordered.
@@ -90,9 +92,26 @@
     if let Some(preferred) = preferred(query, candidates) {
         move_to_front(preferred, &mut order);
     }
+    let spare =
+        |index: &&usize| candidates[**index].is_limited && has_free_slot(&candidates[**index]);
+    let is_full = order.first().is_some_and(|first| !has_free_slot(&candidates[*first]));
+    if let Some(spare) = order.iter().find(spare).copied().filter(|_| is_full) {
+        move_to_front(spare, &mut order);
+    }
     order
 }
 
+/// Whether a request need not wait for a slot. Where the first choice of a request has none, the
+/// permit for a limited endpoint is used, which would lapse otherwise.
+fn has_free_slot(candidate: &Candidate<'_>) -> bool {
+    candidate.requests <= free_slots(candidate.slots)
+}
+
+/// Returns the requests with which an endpoint still has slots to spare.
+fn free_slots(slots: Option<u32>) -> f64 {
+    slots.map_or(f64::INFINITY, |slots| f64::from(slots) * (1.0 - MIN_FREE_SLOTS))
+}
+
 /// Returns the endpoint that a process may copy a part from for the endpoint
 /// `chosen`, as an index into `names`.
 ///
@@ -127,7 +146,7 @@
 /// requests at the other endpoint, and push other parts out of its cache.
 fn max_requests(tokens: u32, mean: f64, slots: Option<u32>) -> f64 {
     let long = mean * LONG_PART_LOAD_MULTIPLE + REUSE_SLACK_REQUESTS;
-    let free = slots.map_or(f64::INFINITY, |slots| f64::from(slots) * (1.0 - MIN_FREE_SLOTS));
+    let free = free_slots(slots);
     let full = mean * FULL_LOAD_MULTIPLE + FULL_SLACK_REQUESTS;
     let short = (mean * SHORT_PART_LOAD_MULTIPLE + REUSE_SLACK_REQUESTS).min(free.max(full));
     let long_fraction = (f64::from(tokens) / LONG_PART_TOKENS).min(1.0);
--- a/crates/policy/tests/choice.rs
+++ b/crates/policy/tests/choice.rs
@@ -16,6 +16,7 @@
         requests: *requests,
         slots: None,
         is_far: false,
+        is_limited: false,
     };
     NAMES.iter().zip(requests).map(candidate).collect()
 }
@@ -190,3 +191,24 @@
         }
     }
 }
+
+#[test]
+fn a_permit_of_a_limited_endpoint_lapses_while_the_others_have_no_free_slot() {
+    let mut candidates = candidates(&[15.0, 15.0, 15.0, 2.0, 1.0, 15.0]);
+    candidates.iter_mut().for_each(|candidate| candidate.slots = Some(16));
+    candidates[3].is_limited = true;
+    for part in 0..100 {
+        for tokens in [700, 9_000] {
+            // Whatever the part's place, the slots of the limited endpoint are free.
+            let chosen = first(&query(Some(part), tokens), &candidates);
+            assert!(["e4", "e5"].contains(&chosen.as_str()), "{chosen}");
+        }
+    }
+    candidates[4].requests = 15.0;
+    assert_eq!(first(&query(Some(3), 9_000), &candidates), "e4");
+    // A limited endpoint without a free slot is no better than another one.
+    candidates[3].requests = 15.0;
+    let places: Vec<String> =
+        (0..100).map(|part| first(&query(Some(part), 9_000), &candidates)).collect();
+    assert!(places.iter().any(|place| place != "e4"));
+}
--- a/crates/policy/tests/fleet_load.rs
+++ b/crates/policy/tests/fleet_load.rs
@@ -211,6 +211,7 @@
                 requests: occupancy.requests(now),
                 slots: self.slots,
                 is_far: false,
+                is_limited: false,
             })
             .collect();
         let popularity = &mut self.popularities[gateway];
