--- a/crates/gateway/src/peer/peers.rs
+++ b/crates/gateway/src/peer/peers.rs
@@ -189,7 +189,7 @@
     }
 
     /// Returns the configuration and the endpoints of this gateway.
-    pub(crate) fn routing(&self) -> &Routing {
+    pub fn routing(&self) -> &Routing {
         &self.routing
     }
 
--- a/crates/gateway/tests/support/entries.rs
+++ b/crates/gateway/tests/support/entries.rs
@@ -11,6 +11,7 @@
 }
 
 /// Returns an endpoint's announcement.
+#[allow(dead_code, reason = "not every test uses it")]
 pub fn announced(id: &str, state: &str) -> Entry {
     let value = format!(
         r#"{{"service": "s", "address": "10.0.0.1:80", "zone": "a", "state": "{state}", "born": 1}}"#
--- a/crates/standins/src/key_value/calls.rs
+++ b/crates/standins/src/key_value/calls.rs
@@ -19,7 +19,7 @@
 
 /// Grants a lease.
 pub(crate) fn grant(state: &mut State, call: LeaseCall) -> Result<Granted, Error> {
-    let lease = state.leases.grant(call.ttl_ms);
+    let lease = state.leases.grant(call.ttl_ms, state.store.revision());
     Ok(Granted { lease, ttl_ms: call.ttl_ms })
 }
 
--- a/crates/standins/src/key_value/lease.rs
+++ b/crates/standins/src/key_value/lease.rs
@@ -8,6 +8,7 @@
 
 use crate::key_value::error::Error;
 use crate::key_value::message::LeaseId;
+use crate::key_value::message::Revision;
 use crate::key_value::service::Service;
 use crate::table::Table;
 
@@ -27,17 +28,25 @@
 struct Lease {
     ttl: Duration,
     deadline: Instant,
+    /// The store's revision when it was granted.
+    granted: Revision,
 }
 
 impl Leases {
     /// Grants a lease of `ttl_ms` milliseconds and returns its id.
-    pub(crate) fn grant(&mut self, ttl_ms: u64) -> LeaseId {
+    pub(crate) fn grant(&mut self, ttl_ms: u64, granted: Revision) -> LeaseId {
         self.last_id += 1;
         let ttl = Duration::from_millis(ttl_ms);
-        self.leases.insert(self.last_id, Lease { ttl, deadline: Instant::now() + ttl });
+        self.leases.insert(self.last_id, Lease { ttl, deadline: Instant::now() + ttl, granted });
         self.last_id
     }
 
+    /// Forgets leases that were granted after a revision. Their ids are granted again.
+    pub(crate) fn restore(&mut self, revision: Revision) {
+        self.leases.retain(|_, lease| lease.granted <= revision);
+        self.last_id = self.leases.entries().iter().map(|(id, _)| *id).max().unwrap_or_default();
+    }
+
     /// Renews a lease and returns its time to live in milliseconds.
     pub(crate) fn renew(&mut self, id: LeaseId) -> Result<u64, Error> {
         let lease = self.leases.value_mut(&id).ok_or(Error::NoLease)?;
--- a/crates/standins/src/key_value/routes.rs
+++ b/crates/standins/src/key_value/routes.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use ntex::http::header::HeaderName;
+use ntex::http::header::HeaderValue;
 use ntex::util::Bytes;
 use ntex::web;
 use ntex::web::HttpRequest;
@@ -26,6 +28,9 @@
 use crate::key_value::service::State;
 use crate::key_value::watch::Watch;
 
+/// Header with the number of restores so far.
+const ERA: &str = "store-era";
+
 /// The service, as the routes receive it.
 type Shared = types::State<Arc<Service>>;
 
@@ -74,11 +79,18 @@
         return error.into_response();
     }
     match Watch::open(&service, query.into_inner()).wait().await {
-        Some(answer) => respond(answer),
+        Some(answer) => tag(&service, respond(answer)),
         None => close_connection(&request),
     }
 }
 
+/// Adds the number of restores so far, as the store does with each answer.
+fn tag(service: &Service, mut response: HttpResponse) -> HttpResponse {
+    let restores = HeaderValue::from(service.state.lock().restores);
+    response.headers_mut().insert(HeaderName::from_static(ERA), restores);
+    response
+}
+
 async fn commit(service: Shared, request: HttpRequest, body: Bytes) -> HttpResponse {
     write(&service, &request, |state| calls::commit(state, decode(&body)?)).await
 }
@@ -100,10 +112,11 @@
     service: &Service,
     call: impl FnOnce(&mut State) -> Result<A, Error>,
 ) -> HttpResponse {
-    match service.admit(Access::Read).await {
+    let response = match service.admit(Access::Read).await {
         Ok(()) => respond(call(&mut service.state.lock())),
         Err(error) => error.into_response(),
-    }
+    };
+    tag(service, response)
 }
 
 /// Admits a write and answers with the result of `call`, or with a closed
@@ -118,7 +131,11 @@
     }
     let answer = call(&mut service.state.lock());
     service.changes.send_replace(());
-    if service.take_lost_answer() { close_connection(request) } else { respond(answer) }
+    if service.take_lost_answer() {
+        close_connection(request)
+    } else {
+        tag(service, respond(answer))
+    }
 }
 
 fn respond<A: Serialize>(answer: Result<A, Error>) -> HttpResponse {
--- a/crates/standins/src/key_value/service.rs
+++ b/crates/standins/src/key_value/service.rs
@@ -114,10 +114,10 @@
 }
 
 impl State {
-    /// Restores the store's state at an old revision and makes open watches end
-    /// without an answer.
+    /// Restores keys and leases at an old revision and makes open watches end without an answer.
     pub(crate) fn restore(&mut self, revision: Revision) {
         self.store.restore(revision);
+        self.leases.restore(revision);
         self.restores += 1;
     }
 
