Order versions of the store across its restores

Callers could get an answer by an old configuration, or a 404 for a new route, for good: a store that comes back from a copy gives its revisions out again, and whoever asked after an old one once the new ones had passed it got no error and never heard of what was written below it. The same held behind a relay, whose listing had gone back below what its followers knew, and a condition on an old revision held for another client's write.

The class: numbers of two histories are compared as if they were of one. A watch, a page or a condition of another history fails with an error of its own, after which all keys are read anew as after an outage. A relay that has not heard of a restore says that it has lost the store.

--- a/crates/agent/src/once/claim_store.rs
+++ b/crates/agent/src/once/claim_store.rs
@@ -161,7 +161,9 @@
             Ok(Outcome::Written(version)) => (Write::Written, version),
             Ok(Outcome::Conflict) => (Write::Conflict, 0),
             Err(Error::Down(_) | Error::Limited) => (Write::NotWritten, 0),
-            Err(Error::Lost(_) | Error::Compacted | Error::Protocol(_)) => (Write::Unknown, 0),
+            Err(Error::Lost(_) | Error::Compacted | Error::Restored | Error::Protocol(_)) => {
+                (Write::Unknown, 0)
+            }
         }
     }
 
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -205,6 +205,10 @@
                         sleep(BATCH_PAUSE).await;
                     }
                 }
+                Err(Error::Restored) => {
+                    log::warn!(prefix = self.prefix, version; "the store was restored from a copy");
+                    return true;
+                }
                 Err(Error::Compacted) => {
                     log::warn!(prefix = self.prefix, version; "the store dropped its history");
                     return false;
--- a/crates/gateway/src/peer/mirror.rs
+++ b/crates/gateway/src/peer/mirror.rs
@@ -8,6 +8,7 @@
 use rpc::view::Snapshot;
 use services::feed::Listing;
 use services::store::Change;
+use services::version::restores;
 
 /// A copy is current if the store answered within this time. A watch ends after three seconds,
 /// and its answer is waited for one second longer.
@@ -104,6 +105,13 @@
         self.find(prefix).map_or(0, |index| self.subtrees[index].listing.version)
     }
 
+    /// Returns how often the store has come back from a copy, as far as that is known; `None` while
+    /// no keys are known.
+    pub fn restores(&self) -> Option<u64> {
+        let known = self.subtrees.iter().map(|subtree| subtree.listing.version);
+        known.filter(|version| *version > 0).map(restores).max()
+    }
+
     /// Returns the prefixes for which the last call of the store failed, each with the version up
     /// to which its keys are known.
     pub fn lost(&self) -> Vec<Cursor> {
@@ -169,6 +177,10 @@
             return Delta::Lost;
         };
         let Listing { entries, version } = &self.listing;
+        // The store has come back from a copy, and this gateway has not heard of it.
+        if restores(after) > restores(*version) {
+            return Delta::Lost;
+        }
         // What was removed before is not remembered, or was never told.
         if after < self.complete_after {
             return Delta::Unknown;
--- a/crates/services/src/feed.rs
+++ b/crates/services/src/feed.rs
@@ -38,7 +38,8 @@
     ///
     /// # Errors
     ///
-    /// [`Error::Compacted`] if the store no longer has these changes: scan again.
+    /// [`Error::Compacted`] if the store no longer has these changes, and [`Error::Restored`] if
+    /// it has come back from a copy since that version: scan again.
     /// Otherwise see [`Error`].
     fn changes<'a>(
         &'a self,
--- a/crates/services/src/lib.rs
+++ b/crates/services/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod feed;
 pub mod meter;
 pub mod store;
+pub mod version;
 pub mod vm_list;
 pub mod vms;
 
--- a/crates/services/src/meter.rs
+++ b/crates/services/src/meter.rs
@@ -31,6 +31,7 @@
         Err(Error::Limited) => "limited",
         Err(Error::Lost(_)) => "lost",
         Err(Error::Compacted) => "compacted",
+        Err(Error::Restored) => "restored",
         Err(Error::Protocol(_)) => "protocol",
     }
 }
--- a/crates/services/src/store.rs
+++ b/crates/services/src/store.rs
@@ -109,7 +109,8 @@
     pub key: String,
     /// The value.
     pub value: Vec<u8>,
-    /// The store's version at the key's last change, used in conditions and as a fencing token.
+    /// The store's version at the key's last change, used in conditions and as a fencing token;
+    /// see [`crate::version`].
     pub version: u64,
 }
 
@@ -182,6 +183,8 @@
     Lost(String),
     /// the changes asked for are no longer held: all keys are read again
     Compacted,
+    /// the key-value service has come back from a copy: all keys are read again
+    Restored,
     /// the key-value service gave an answer that can't be read ({0}): check what the settings' address of it leads to
     Protocol(String),
 }
