Don't take a restored store's old announcements for new ones

After the store came back from a copy, requests went to endpoints that were leaving, and to ones that were gone, until these or their leases said so again: the copy had them as they were seconds before. In the first listing after a restore an announcement of the same start with a lower number is older than what is known, and an endpoint that was removed within a minute stays removed; what is announced after the restore counts as always.

--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -28,6 +28,10 @@
 /// Running endpoints announce themselves again within two seconds.
 const REANNOUNCE_TIMEOUT: Duration = Duration::from_millis(2_200);
 
+/// How long a removed endpoint is remembered: the copies from which stores come back are some
+/// seconds old.
+const REMOVED_TTL: Duration = Duration::from_secs(60);
+
 /// Shortest prompt prefix that is copied between endpoints, in tokens. Computing a shorter one
 /// again, at the specified 140 tokens per millisecond, takes less time than setting up a copy,
 /// which takes some milliseconds.
@@ -40,8 +44,12 @@
     seed: u64,
     /// Whether all announcements have been read once.
     is_loaded: bool,
+    /// Number of restores of the store after which the endpoints were last read.
+    restores: u64,
     /// Until this time an announcement may be missing only because of an outage of the store.
     grace_until: Duration,
+    /// Endpoints that were removed lately, which a restored store may still have.
+    removed: Vec<(Arc<Endpoint>, Duration)>,
     /// Sorted by id.
     endpoints: Vec<Tracked>,
     /// Outlier ejection of each service, sorted by service.
@@ -71,7 +79,9 @@
         Endpoints {
             seed,
             is_loaded: false,
+            restores: 0,
             grace_until: Duration::ZERO,
+            removed: Vec::new(),
             endpoints: Vec::new(),
             outliers: Vec::new(),
             popularity: Popularity::default(),
@@ -89,19 +99,57 @@
         self.endpoints.iter().map(|tracked| Arc::clone(&tracked.endpoint)).collect()
     }
 
-    /// Replaces the endpoints by the announced ones. After an outage of the store, endpoints
-    /// without an announcement are kept until they had time to announce themselves again.
-    pub(crate) fn set_all(&mut self, announced: Vec<Endpoint>, after_outage: bool, now: Duration) {
+    /// Returns the announced endpoints without announcements that are older than what is known, as
+    /// they may be in a listing of a store that has come back from a copy.
+    ///
+    /// Endpoints that run announce themselves again, which then counts.
+    pub(crate) fn without_outdated(
+        &self,
+        announced: Vec<Endpoint>,
+        restores: u64,
+        now: Duration,
+    ) -> Vec<Endpoint> {
+        if !self.is_restored(restores) {
+            return announced;
+        }
+        let is_removed = |endpoint: &Endpoint| {
+            self.removed.iter().any(|(removed, at)| {
+                removed.is_same_start(endpoint) && now.saturating_sub(*at) < REMOVED_TTL
+            })
+        };
+        let current = |endpoint: Endpoint| match self.find(&endpoint.id) {
+            Ok(index) => Some(self.endpoints[index].endpoint.newer_of(endpoint)),
+            Err(_) => (!is_removed(&endpoint)).then_some(endpoint),
+        };
+        announced.into_iter().filter_map(current).collect()
+    }
+
+    /// Whether the store has come back from a copy since the endpoints were last read.
+    fn is_restored(&self, restores: u64) -> bool {
+        self.is_loaded && restores > self.restores
+    }
+
+    /// Replaces the endpoints by the announced ones. After an outage or a restore of the store,
+    /// endpoints without an announcement are kept until they had time to announce themselves again.
+    pub(crate) fn set_all(
+        &mut self,
+        announced: Vec<Endpoint>,
+        restores: u64,
+        after_outage: bool,
+        now: Duration,
+    ) {
         let is_announced =
             |tracked: &Tracked| announced.iter().any(|other| other.id == tracked.endpoint.id);
-        if after_outage {
+        if after_outage || self.is_restored(restores) {
             self.grace_until = now + REANNOUNCE_TIMEOUT;
             for tracked in self.endpoints.iter_mut().filter(|tracked| !is_announced(tracked)) {
                 tracked.missing_until.get_or_insert(now + REANNOUNCE_TIMEOUT);
             }
         } else {
-            self.endpoints.retain(is_announced);
+            let gone = self.endpoints.extract_if(.., |tracked| !is_announced(tracked));
+            self.removed.extend(gone.map(|tracked| (tracked.endpoint, now)));
         }
+        self.restores = self.restores.max(restores);
         for endpoint in announced {
             self.put(endpoint);
         }
@@ -109,15 +157,17 @@
     }
 
     /// Removes an endpoint at once.
-    pub(crate) fn remove_now(&mut self, id: &str) {
-        self.endpoints.retain(|tracked| *tracked.endpoint.id != *id);
+    pub(crate) fn remove_now(&mut self, id: &str, now: Duration) {
+        self.removed.retain(|(_, at)| now.saturating_sub(*at) < REMOVED_TTL);
+        let gone = self.endpoints.extract_if(.., |tracked| *tracked.endpoint.id == *id);
+        self.removed.extend(gone.map(|tracked| (tracked.endpoint, now)));
     }
 
     /// Removes an endpoint whose announcement was removed. Shortly after an outage of the store
     /// the endpoint is kept until it had time to announce itself again.
     pub(crate) fn remove(&mut self, id: &str, now: Duration) {
         if now >= self.grace_until {
-            return self.remove_now(id);
+            return self.remove_now(id, now);
         }
         let grace_until = self.grace_until;
         self.update(id, |tracked| {
@@ -127,7 +177,9 @@
 
     /// Removes endpoints that did not announce themselves again in time.
     pub(crate) fn remove_missing(&mut self, now: Duration) {
-        self.endpoints.retain(|tracked| tracked.missing_until.is_none_or(|until| now < until));
+        let is_gone = |tracked: &mut Tracked| tracked.missing_until.is_some_and(|it| now >= it);
+        let gone = self.endpoints.extract_if(.., is_gone);
+        self.removed.extend(gone.map(|tracked| (tracked.endpoint, now)));
     }
 
     /// Chooses the endpoint of a request, and counts the request as in flight there. `gateways` is
@@ -262,6 +314,7 @@
     /// Adds or updates an endpoint. If it was restarted, what was observed of the earlier start
     /// is dropped.
     pub(crate) fn put(&mut self, endpoint: Endpoint) {
+        self.removed.retain(|(removed, _)| removed.id != endpoint.id);
         match self.find(&endpoint.id) {
             Ok(index) if self.endpoints[index].endpoint.is_same_start(&endpoint) => {
                 let tracked = &mut self.endpoints[index];
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -12,6 +12,7 @@
 use services::store::Change;
 use services::store::Entry;
 use services::store::Error;
+use services::version;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
@@ -147,7 +148,7 @@
                 Ok(listing) => {
                     log::info!(prefix = self.prefix, version = listing.version,
                         keys = listing.entries.len(), after_outage; "read from the store");
-                    self.apply_listing(&listing.entries, after_outage);
+                    self.apply_listing(&listing, after_outage);
                     let version = listing.version;
                     let now = self.routing.now();
                     self.peers.update_mirror(|mirror| mirror.replace(self.prefix, listing, now));
@@ -246,16 +247,18 @@
         let Listing { entries, version } = &snapshot.listing;
         log::info!(prefix = self.prefix, version, keys = entries.len();
             "snapshot adopted from a peer");
-        self.apply_listing(entries, true);
+        self.apply_listing(&snapshot.listing, true);
     }
 
     /// Applies all keys under the prefix.
-    fn apply_listing(&self, entries: &[Entry], after_outage: bool) {
+    fn apply_listing(&self, listing: &Listing, after_outage: bool) {
+        let Listing { entries, version } = listing;
         match self.kind {
             Kind::Table => entries.iter().for_each(|entry| self.apply_table(entry)),
             Kind::Endpoints => {
                 let announced = entries.iter().filter_map(|entry| self.endpoint(entry));
-                self.routing.set_endpoints(announced.collect(), after_outage);
+                let restores = version::restores(*version);
+                self.routing.set_endpoints(announced.collect(), restores, after_outage);
             }
         }
     }
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -96,12 +96,14 @@
         true
     }
 
-    /// Replaces all endpoints by the announced ones. After an outage of the store, endpoints
-    /// without an announcement are kept until they had time to announce themselves again.
-    pub fn set_endpoints(&self, endpoints: Vec<Endpoint>, after_outage: bool) {
+    /// Replaces all endpoints by the announced ones, as read after a number of restores of the
+    /// store. After an outage or a restore, endpoints without an announcement are kept until they
+    /// had time to announce themselves again.
+    pub fn set_endpoints(&self, endpoints: Vec<Endpoint>, restores: u64, after_outage: bool) {
         let mut known = self.endpoints.lock();
+        let endpoints = known.without_outdated(endpoints, restores, self.now());
         endpoints.iter().for_each(|endpoint| self.record_ended(&known, endpoint));
-        known.set_all(endpoints, after_outage, self.now());
+        known.set_all(endpoints, restores, after_outage, self.now());
     }
 
     /// Returns all known endpoints, sorted by id.
@@ -125,7 +127,7 @@
 
     /// Removes an endpoint at once.
     pub fn remove_endpoint_now(&self, id: &str) {
-        self.endpoints.lock().remove_now(id);
+        self.endpoints.lock().remove_now(id, self.now());
     }
 
     /// Removes an endpoint whose announcement was removed. Shortly after an outage of the store
--- a/crates/gateway/tests/sessions/support/fixture.rs
+++ b/crates/gateway/tests/sessions/support/fixture.rs
@@ -52,7 +52,7 @@
         let table = Codec.table(CONFIGURATION.as_bytes()).expect("a configuration");
         assert!(self.routing.set_table(table));
         let announced = endpoints.iter().map(|endpoint| decode(service, endpoint, "ready"));
-        self.routing.set_endpoints(announced.collect(), false);
+        self.routing.set_endpoints(announced.collect(), 0, false);
     }
 
     /// Announces to the gateway that an endpoint accepts no new requests.
--- a/crates/route/src/endpoint.rs
+++ b/crates/route/src/endpoint.rs
@@ -21,6 +21,8 @@
     /// When it was started, in milliseconds of Unix time. It tells starts apart, since an
     /// endpoint may be restarted with the same id.
     pub started_ms: Option<u64>,
+    /// Number that grows with the endpoint's announcements since its start, if they have one.
+    pub sequence: Option<u64>,
 }
 
 /// Whether an endpoint accepts new requests.
@@ -33,6 +35,14 @@
 }
 
 impl Endpoint {
+    /// Returns the newer announcement of both: of the same start the one with the higher number, else
+    /// the other one.
+    pub fn newer_of(&self, other: Endpoint) -> Endpoint {
+        let is_comparable = self.started_ms.is_some() && self.is_same_start(&other);
+        let is_newer = is_comparable && self.sequence > other.sequence;
+        if is_newer { self.clone() } else { other }
+    }
+
     /// Whether both describe the same start of the same endpoint.
     pub fn is_same_start(&self, other: &Endpoint) -> bool {
         self.id == other.id && self.address == other.address && self.started_ms == other.started_ms
