Write registrations and quarantines again after a restore of the store

A copy may lack what gateways wrote, and their leases. They learned that at the next renewal, 20 s later, or never, if the lease's id had been given to somebody else; meanwhile others counted too few gateways, and divided the retry budget and limits among those. Stored quarantines were not written again at all, and removed ones came back.

Gateways register anew, spread over a second, as soon as they hear of a restore, and don't look up the others for 3 s. Quarantines are written and removed again.

--- a/crates/gateway/src/peer/peers.rs
+++ b/crates/gateway/src/peer/peers.rs
@@ -55,6 +55,8 @@
     exchange: Mutex<Exchange>,
     /// Signals changes of the mirror.
     changed: watch::Sender<()>,
+    /// How often the store has come back from a copy, as far as this gateway knows.
+    restores: watch::Sender<Option<u64>>,
     routing: Arc<Routing>,
 }
 
@@ -77,6 +79,7 @@
             mirror: Mutex::default(),
             exchange: Mutex::new(Exchange::new(&own.vm, incarnation)),
             changed: watch::Sender::default(),
+            restores: watch::Sender::default(),
             own,
             routing,
         }
@@ -179,8 +182,22 @@
 
     /// Changes the local copy of the store's keys, and answers peers that wait for changes.
     pub(crate) fn update_mirror(&self, change: impl FnOnce(&mut Mirror)) {
-        change(&mut self.mirror.lock());
+        let restores = {
+            let mut mirror = self.mirror.lock();
+            change(&mut mirror);
+            mirror.restores()
+        };
         self.changed.send_replace(());
+        self.restores.send_if_modified(|known| {
+            let is_new = restores > *known;
+            *known = restores.max(*known);
+            is_new
+        });
+    }
+
+    /// Returns how often the store has come back from a copy, with its changes.
+    pub(crate) fn restores(&self) -> watch::Receiver<Option<u64>> {
+        self.restores.subscribe()
     }
 
     /// Locks and returns the loads of the other gateways.
--- a/crates/gateway/src/peer/registration.rs
+++ b/crates/gateway/src/peer/registration.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use rand::RngExt;
 use services::Store;
 use services::store::Commit;
 use services::store::Entry;
@@ -15,6 +16,7 @@
 
 use crate::peer::Member;
 use crate::peer::Peers;
+use crate::peer::Restores;
 use crate::peer::stored;
 
 /// Prefix of all keys of registrations.
@@ -34,6 +36,13 @@
 /// Interval between renewals of the lease. Two in a row may fail before it expires.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(20);
 
+/// Time over which gateways spread their registrations after the store has come back from a copy.
+const RESTORE_SPREAD: Duration = Duration::from_millis(1_000);
+
+/// How long the other gateways are not looked up after that, since their registrations may be
+/// missing: the time to notice it and [`RESTORE_SPREAD`].
+const RESTORE_PAUSE: Duration = Duration::from_millis(3_000);
+
 /// Interval between the first lookups of the other gateways, while the whole fleet may be
 /// starting. It doubles up to [`MAX_LOOKUP_INTERVAL`].
 const MIN_LOOKUP_INTERVAL: Duration = Duration::from_secs(1);
@@ -47,7 +56,7 @@
     let registration = Registration { store, member: peers.own() };
     let all = async {
         tokio::join!(
-            registration.keep_renewed(),
+            registration.keep_renewed(peers),
             registration.follow_peers(peers),
             stored::keep_written(store, peers),
         )
@@ -62,30 +71,43 @@
 }
 
 impl Registration<'_> {
-    /// Renews the registration at regular intervals.
-    async fn keep_renewed(&self) {
+    /// Renews the registration at regular intervals, and registers again once the store has come
+    /// back from a copy: that may lack the registration, and the lease may be another gateway's.
+    async fn keep_renewed(&self, peers: &Peers) {
+        let mut restores = Restores::new(peers);
         let mut lease = None;
         loop {
             lease = self.renew(lease).await;
-            sleep(RENEWAL_INTERVAL).await;
+            if restores.wait(RENEWAL_INTERVAL).await {
+                lease = None;
+                sleep(RESTORE_SPREAD.mul_f64(rand::rng().random())).await;
+            }
         }
     }
 
     /// Looks up the other gateways at increasing intervals, the first time at once.
     async fn follow_peers(&self, peers: &Peers) {
         let mut interval = MIN_LOOKUP_INTERVAL;
+        let mut restores = Restores::new(peers);
         loop {
             match self.store.list_cached(PREFIX).await {
+                // The list may lack gateways that have not registered again.
+                Ok(_) if restores.has_restored() => {
+                    sleep(RESTORE_PAUSE).await;
+                    interval = MIN_LOOKUP_INTERVAL;
+                    continue;
+                }
                 Ok(entries) => {
                     set_peers(peers, &entries);
                     stored::learn(peers.routing(), &entries);
-                    sleep(interval).await;
-                    interval = (interval * 2).min(MAX_LOOKUP_INTERVAL);
-                }
-                Err(error) => {
-                    log::info!("peers can't be looked up: {error}");
-                    sleep(interval).await;
                 }
+                Err(error) => log::info!("peers can't be looked up: {error}"),
+            }
+            if restores.wait(interval).await {
+                sleep(RESTORE_PAUSE).await;
+                interval = MIN_LOOKUP_INTERVAL;
+            } else {
+                interval = (interval * 2).min(MAX_LOOKUP_INTERVAL);
             }
         }
     }
--- a/crates/gateway/src/peer/stored.rs
+++ b/crates/gateway/src/peer/stored.rs
@@ -21,6 +21,7 @@
 
 use crate::Routing;
 use crate::peer::Peers;
+use crate::peer::Restores;
 
 /// Prefix of the keys of quarantines.
 const PREFIX: &str = "lycheeknot/quarantine/";
@@ -38,6 +39,9 @@
 /// Most crashes that are stored of a quarantine.
 const MAX_STARTS: usize = 8;
 
+/// Removed quarantines that are remembered, as a restored store may have them again.
+const MAX_REMOVED: usize = 16;
+
 /// A quarantine as it is stored.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct Stored {
@@ -64,6 +68,8 @@
 /// gateway reports to no other one.
 pub(crate) async fn keep_written(store: &dyn Store, peers: &Peers) {
     let mut written: Vec<String> = Vec::new();
+    let mut removed: Vec<String> = Vec::new();
+    let mut restores = Restores::new(peers);
     loop {
         sleep(INTERVAL.mul_f64(rand::rng().random_range(0.75..1.25))).await;
         if !peers.relays(Duty::Loads).is_empty() {
@@ -71,6 +77,11 @@
         }
         let current: Vec<(String, Stored)> =
             peers.routing().quarantined().into_iter().map(keyed).collect();
+        if restores.has_restored() {
+            // The copy may lack what was written, and still have what was removed.
+            written.append(&mut removed);
+            written.retain(|key| current.iter().all(|(other, _)| other != key));
+        }
         for (key, stored) in &current {
             if written.contains(key) {
                 continue;
@@ -84,9 +95,13 @@
         }
         let is_ended = |key: &String| current.iter().all(|(other, _)| other != key);
         let ended: Vec<String> = written.extract_if(.., |key| is_ended(key)).collect();
-        if !ended.is_empty()
-            && let Err(error) = store.commit(&Commit { removes: ended, ..Commit::default() }).await
-        {
+        if ended.is_empty() {
+            continue;
+        }
+        removed.extend(ended.iter().cloned());
+        removed.drain(..removed.len().saturating_sub(MAX_REMOVED));
+        let commit = Commit { removes: ended, ..Commit::default() };
+        if let Err(error) = store.commit(&commit).await {
             log::info!("ended quarantines stay stored until their lease ends: {error}");
         }
     }
