Ask only relays whose versions order restores

During a release, a gateway that orders versions across restores would hear of no change from a relay of an older build: its version with a number of restores is above all that the relay has, and the relay's answer is empty and current. Members register the format of their versions; those of another format are relays only if there is nobody else. A test fails without it: the gateway stays at configuration 3.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -59,6 +59,7 @@
         centre: settings.centre.clone(),
         address: settings.control,
         capacity: settings.capacity,
+        format: Member::FORMAT,
     };
     let seeds = settings.seeds.clone();
     let peers = Arc::new(Peers::new(Arc::clone(&routing), member, process::incarnation(), seeds));
--- a/crates/gateway/src/peer/member.rs
+++ b/crates/gateway/src/peer/member.rs
@@ -17,11 +17,20 @@
     pub address: SocketAddr,
     /// Its processor share in thousandths of a core.
     pub capacity: u32,
+    /// Format of the versions by which it tells changes of the store; 0 for builds whose versions
+    /// don't order changes across restores.
+    #[serde(default)]
+    pub format: u32,
 }
 
 impl Member {
-    /// Returns what a choice of relays needs of it.
+    /// The format of versions of this build, see [`services::version`].
+    pub const FORMAT: u32 = 1;
+
+    /// Returns what a choice of relays needs of it. Builds with another format of versions are
+    /// relays only if there are no others.
     pub(crate) fn candidate(&self) -> Candidate<'_> {
-        Candidate { vm: &self.vm, centre: &self.centre, capacity: self.capacity }
+        let capacity = if self.format == Member::FORMAT { self.capacity } else { 0 };
+        Candidate { vm: &self.vm, centre: &self.centre, capacity }
     }
 }
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -76,7 +76,13 @@
 
 fn peers() -> Peers {
     let address = "127.0.0.1:9".parse().expect("an address");
-    let own = Member { vm: "g1".to_owned(), centre: "a".to_owned(), address, capacity: 10 };
+    let own = Member {
+        vm: "g1".to_owned(),
+        centre: "a".to_owned(),
+        address,
+        capacity: 10,
+        format: Member::FORMAT,
+    };
     Peers::new(Arc::new(Routing::default()), own, 1, Vec::new())
 }
 
--- a/crates/gateway/tests/relays.rs
+++ b/crates/gateway/tests/relays.rs
@@ -145,7 +145,17 @@
     scenario: impl FnOnce(Arc<Routing>, CancellationToken) -> F,
 ) {
     let address = free_address();
-    let members = members(address, free_address());
+    run_among(members(address, free_address()), relay_store, leaf_store, scenario).await;
+}
+
+/// Runs the first two of these members as [`run`] does.
+async fn run_among<F: Future<Output = ()>>(
+    members: Vec<Member>,
+    relay_store: &Store,
+    leaf_store: &Store,
+    scenario: impl FnOnce(Arc<Routing>, CancellationToken) -> F,
+) {
+    let address = members[0].address;
     let relay = Arc::new(peers(&Arc::default(), "relay", &members));
     let routing = Arc::<Routing>::default();
     let leaf = peers(&routing, "leaf", &members);
@@ -185,6 +195,22 @@
     .await;
 }
 
+#[tokio::test]
+async fn a_relay_whose_versions_do_not_order_restores_is_asked_for_changes() {
+    let (relay, leaf) = (Store::at(3), Store::at(3));
+    let mut members = members(free_address(), free_address());
+    members[0].format = 0;
+    run_among(members, &relay, &leaf, async |routing, _| {
+        wait_for(&routing, 3).await;
+        sleep(Duration::from_secs(1)).await;
+        // The relay of the other build hears of nothing, which it doesn't know.
+        leaf.version.set(Some(9));
+        let took = wait_for(&routing, 9).await;
+        assert!(took < CHANGE_BOUND, "{took:?}");
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn a_gateway_reads_the_store_itself_once_its_relay_has_lost_it() {
     let (relay, leaf) = (Store::at(3), Store::at(3));
--- a/crates/gateway/tests/sessions/loads.rs
+++ b/crates/gateway/tests/sessions/loads.rs
@@ -33,7 +33,8 @@
 }
 
 pub fn member(vm: &str, capacity: u32) -> Member {
-    Member { vm: vm.to_owned(), centre: "a".to_owned(), address: free_address(), capacity }
+    let (vm, centre) = (vm.to_owned(), "a".to_owned());
+    Member { vm, centre, address: free_address(), capacity, format: Member::FORMAT }
 }
 
 /// Returns what the gateway at this place of the members knows.
--- a/crates/gateway/tests/support/entries.rs
+++ b/crates/gateway/tests/support/entries.rs
@@ -30,5 +30,6 @@
 
 /// Returns a gateway of the data centre `a` that peers call at this address.
 pub fn member(vm: &str, address: SocketAddr) -> Member {
-    Member { vm: vm.to_owned(), centre: "a".to_owned(), address, capacity: 1_000 }
+    let (vm, centre) = (vm.to_owned(), "a".to_owned());
+    Member { vm, centre, address, capacity: 1_000, format: Member::FORMAT }
 }
