--- a/crates/gateway/tests/sessions/crashes.rs
+++ b/crates/gateway/tests/sessions/crashes.rs
@@ -15,6 +15,7 @@
 use crate::support::fixture::Fixture;
 use crate::support::script::REQUEST_HEADERS;
 use crate::support::script::stream_start;
+use crate::support::script::wait_until;
 
 /// Endpoints that may crash by a part before no more requests with it are sent.
 const MAX_CRASHES: usize = 5;
@@ -30,6 +31,7 @@
     for number in 0..12 {
         // No two of them share another part than the first one.
         exchange(&fixture, &format!("aa:10,b{number}:10,{HARMFUL}:10,c{number}:10"));
+        await_crashes(&endpoints);
         let sound = exchange(&fixture, &format!("aa:10,b{number}:10,d{number}:10"));
         assert!(sound.ends_with("\n0\n\n"), "{sound}");
         // An endpoint's listener closes a little after its connections.
@@ -88,6 +90,7 @@
         let sound = exchange(fixture, &format!("aa:10,b{number}:10,d:10"));
         assert!(sound.ends_with("\n0\n\n"), "{sound}");
         exchange(fixture, &format!("aa:10,{HARMFUL}:10,b{number}:10,c:10"));
+        await_crashes(&endpoints);
     }
     let crashed = endpoints.iter().filter(|endpoint| endpoint.has_crashed()).count();
     assert_eq!(crashed, 3);
@@ -101,6 +104,12 @@
     cancel.cancel();
 }
 
+/// Waits until each endpoint that has begun to crash is down. A request that reaches it before is
+/// lost with it, whatever its parts.
+fn await_crashes(endpoints: &[Endpoint]) {
+    wait_until(|| endpoints.iter().all(|endpoint| !endpoint.is_crashing()));
+}
+
 /// Returns the response to a request for a stream that can't be resumed.
 fn exchange(fixture: &Fixture, parts: &str) -> String {
     request(fixture, "once", parts)
--- a/crates/gateway/tests/sessions/support/endpoint.rs
+++ b/crates/gateway/tests/sessions/support/endpoint.rs
@@ -66,16 +66,26 @@
             let streams = Arc::new(Mutex::new(Vec::new()));
             while let Ok((stream, _)) = listener.accept() {
                 if is_crashed(&seen) {
-                    return;
+                    break;
                 }
                 streams.lock().push(stream.try_clone().expect("a connection"));
                 let (seen, streams, part) = (Arc::clone(&seen), Arc::clone(&streams), part.clone());
                 thread::spawn(move || serve_fragile(stream, &part, &seen, &streams, address));
             }
+            drop(listener);
+            seen.lock().push(DEAF.to_owned());
         });
         endpoint
     }
 
+    /// Whether an endpoint of [`Endpoint::start_fragile`] has begun to crash and some of its
+    /// connections are still open, or its listener is.
+    pub fn is_crashing(&self) -> bool {
+        let seen = self.seen.lock();
+        let has = |wanted: &str| seen.iter().any(|record| record == wanted);
+        has(CRASH) && !(has(DOWN) && has(DEAF))
+    }
+
     /// Whether an endpoint of [`Endpoint::start_fragile`] has crashed.
     pub fn has_crashed(&self) -> bool {
         is_crashed(&self.seen)
@@ -144,9 +154,15 @@
     }
 }
 
-/// Record of a crash.
+/// Record of a crash that begins.
 const CRASH: &str = "crash";
 
+/// Record of a crash after which all connections are reset.
+const DOWN: &str = "down";
+
+/// Record of a listener that is closed.
+const DEAF: &str = "deaf";
+
 fn is_crashed(seen: &Mutex<Vec<String>>) -> bool {
     seen.lock().iter().any(|record| record == CRASH)
 }
@@ -181,6 +197,7 @@
                 let _ = socket.set_linger(Some(Duration::ZERO));
                 let _ = stream.shutdown(std::net::Shutdown::Both);
             }
+            seen.lock().push(DOWN.to_owned());
             return;
         }
         thread::sleep(Duration::from_millis(20));
