--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -9,29 +9,24 @@
 use policy::choice;
 use policy::exchange;
 use policy::exchange::Sheet;
-use policy::occupancy::Occupancy;
 use policy::outlier::Outliers;
 use policy::outlier::Verdict;
 use policy::popularity::Popularity;
-use policy::quarantine;
-use policy::rate_limit::Limiter;
 use policy::rate_limit::Usage;
 use route::Endpoint;
-use route::endpoint::State;
 
 use crate::criteria::Choice;
 use crate::criteria::Criteria;
-use crate::demand::Demand;
+use crate::demands::Demands;
+use crate::ejections::Ejections;
 use crate::record;
+use crate::removed::Removed;
+use crate::tracked::Tracked;
 
 /// How long an endpoint is kept whose announcement is missing after an outage of the store.
 /// Running endpoints announce themselves again within two seconds.
 const REANNOUNCE_TIMEOUT: Duration = Duration::from_millis(2_200);
 
-/// How long a removed endpoint is remembered: the copies from which stores come back are some
-/// seconds old.
-const REMOVED_TTL: Duration = Duration::from_secs(60);
-
 /// Shortest prompt prefix that is copied between endpoints, in tokens. Computing a shorter one
 /// again, at the specified 140 tokens per millisecond, takes less time than setting up a copy,
 /// which takes some milliseconds.
@@ -49,28 +44,14 @@
     /// Until this time an announcement may be missing only because of an outage of the store.
     grace_until: Duration,
     /// Endpoints that were removed lately, which a restored store may still have.
-    removed: Vec<(Arc<Endpoint>, Duration)>,
+    removed: Removed,
     /// Sorted by id.
     endpoints: Vec<Tracked>,
-    /// Outlier ejection of each service, sorted by service.
-    outliers: Vec<(Arc<str>, Outliers)>,
+    ejections: Ejections,
     /// How often parts of prompts were seen lately.
     popularity: Popularity,
-    /// Requests for each service lately, sorted by service.
-    demands: Vec<(Arc<str>, Demand)>,
-}
-
-/// An endpoint and what this gateway has observed of it.
-#[derive(Debug)]
-struct Tracked {
-    endpoint: Arc<Endpoint>,
-    occupancy: Occupancy,
-    /// Set if its announcement is missing: the endpoint is removed at this time.
-    missing_until: Option<Duration>,
-    /// Whether another endpoint has responded at its address.
-    is_replaced: bool,
-    /// Its limit of the requests of all gateways, if it names one.
-    limiter: Limiter,
+    /// Requests for each service lately.
+    demands: Demands,
 }
 
 impl Endpoints {
@@ -81,11 +62,11 @@
             is_loaded: false,
             restores: 0,
             grace_until: Duration::ZERO,
-            removed: Vec::new(),
+            removed: Removed::default(),
             endpoints: Vec::new(),
-            outliers: Vec::new(),
+            ejections: Ejections::default(),
             popularity: Popularity::default(),
-            demands: Vec::new(),
+            demands: Demands::default(),
         }
     }
 
@@ -112,14 +93,9 @@
         if !self.is_restored(restores) {
             return announced;
         }
-        let is_removed = |endpoint: &Endpoint| {
-            self.removed.iter().any(|(removed, at)| {
-                removed.is_same_start(endpoint) && now.saturating_sub(*at) < REMOVED_TTL
-            })
-        };
         let current = |endpoint: Endpoint| match self.find(&endpoint.id) {
             Ok(index) => Some(self.endpoints[index].endpoint.newer_of(endpoint)),
-            Err(_) => (!is_removed(&endpoint)).then_some(endpoint),
+            Err(_) => (!self.removed.contains(&endpoint, now)).then_some(endpoint),
         };
         announced.into_iter().filter_map(current).collect()
     }
@@ -147,7 +123,7 @@
             }
         } else {
             let gone = self.endpoints.extract_if(.., |tracked| !is_announced(tracked));
-            self.removed.extend(gone.map(|tracked| (tracked.endpoint, now)));
+            gone.for_each(|tracked| self.removed.add(tracked.endpoint, now));
         }
         self.restores = self.restores.max(restores);
         for endpoint in announced {
@@ -158,9 +134,8 @@
 
     /// Removes an endpoint at once.
     pub(crate) fn remove_now(&mut self, id: &str, now: Duration) {
-        self.removed.retain(|(_, at)| now.saturating_sub(*at) < REMOVED_TTL);
         let gone = self.endpoints.extract_if(.., |tracked| *tracked.endpoint.id == *id);
-        self.removed.extend(gone.map(|tracked| (tracked.endpoint, now)));
+        gone.for_each(|tracked| self.removed.add(tracked.endpoint, now));
     }
 
     /// Removes an endpoint whose announcement was removed. Shortly after an outage of the store
@@ -179,7 +154,7 @@
     pub(crate) fn remove_missing(&mut self, now: Duration) {
         let is_gone = |tracked: &mut Tracked| tracked.missing_until.is_some_and(|it| now >= it);
         let gone = self.endpoints.extract_if(.., is_gone);
-        self.removed.extend(gone.map(|tracked| (tracked.endpoint, now)));
+        gone.for_each(|tracked| self.removed.add(tracked.endpoint, now));
     }
 
     /// Chooses the endpoint of a request, and counts the request as in flight there. `gateways` is
@@ -218,16 +193,7 @@
 
     /// Counts a request for a service, and refills the permits for its limited endpoints.
     fn refill(&mut self, service: &str, gateways: u32, now: Duration) {
-        let index = match find_service(&self.demands, service) {
-            Ok(index) => index,
-            Err(index) => {
-                self.demands.insert(index, (Arc::from(service), Demand::default()));
-                index
-            }
-        };
-        let requests = &mut self.demands[index].1.requests;
-        requests.add(now);
-        let wanted = requests.count(now);
+        let wanted = self.demands.record(service, now);
         for tracked in self.endpoints.iter_mut().filter(|it| *it.endpoint.service == *service) {
             tracked.limiter.refill(wanted, gateways, now);
         }
@@ -245,8 +211,7 @@
             limited.map(|tracked| tracked.limiter.next_permit()).collect();
         let first = permits.iter().map(|(wait, _)| *wait).min()?;
         let rate = permits.iter().map(|(_, rate)| *rate).sum();
-        let index = find_service(&self.demands, criteria.service).ok()?;
-        Some(self.demands[index].1.promises.next(first, rate, now))
+        Some(self.demands.promise(criteria.service, first, rate, now))
     }
 
     /// Records the limit that an endpoint named, in requests per second.
@@ -262,8 +227,7 @@
     pub(crate) fn own_usage(&self, now: Duration) -> Usage {
         let mut usage = Usage::default();
         for tracked in &self.endpoints {
-            let demand = find_service(&self.demands, &tracked.endpoint.service);
-            let wanted = demand.map_or(0, |index| self.demands[index].1.requests.count(now));
+            let wanted = self.demands.count(&tracked.endpoint.service, now);
             tracked.limiter.row(wanted, now).into_iter().for_each(|row| usage.add(row));
         }
         usage
@@ -273,7 +237,7 @@
     /// gateways.
     pub(crate) fn set_other_usage(&mut self, usage: &Usage, gateways: u32, now: Duration) {
         for tracked in &mut self.endpoints {
-            let row = usage.row(start_id(&tracked.endpoint));
+            let row = usage.row(tracked.start_id());
             if tracked.limiter.learn(row, gateways, now) {
                 record::limit(&tracked.endpoint, tracked.limiter.max_rate(), "gateway");
             }
@@ -314,7 +278,7 @@
     /// Adds or updates an endpoint. If it was restarted, what was observed of the earlier start
     /// is dropped.
     pub(crate) fn put(&mut self, endpoint: Endpoint) {
-        self.removed.retain(|(removed, _)| removed.id != endpoint.id);
+        self.removed.forget(&endpoint.id);
         match self.find(&endpoint.id) {
             Ok(index) if self.endpoints[index].endpoint.is_same_start(&endpoint) => {
                 let tracked = &mut self.endpoints[index];
@@ -340,14 +304,7 @@
 
     /// Returns the outlier ejection of a service.
     pub(crate) fn outliers(&mut self, service: &Arc<str>) -> &mut Outliers {
-        let index = match find_service(&self.outliers, service) {
-            Ok(index) => index,
-            Err(index) => {
-                self.outliers.insert(index, (Arc::clone(service), Outliers::default()));
-                index
-            }
-        };
-        &mut self.outliers[index].1
+        self.ejections.entry(service)
     }
 
     /// Chooses the best endpoint for a request among those that aren't ejected.
@@ -382,8 +339,7 @@
         if !criteria.can_probe {
             return None;
         }
-        let index = find_service(&self.outliers, criteria.service).ok()?;
-        let outliers = &mut self.outliers[index].1;
+        let outliers = self.ejections.find_mut(criteria.service)?;
         let available = self
             .endpoints
             .iter()
@@ -402,7 +358,7 @@
             tracked.endpoint.service == chosen.service
                 && tracked.missing_until.is_none()
                 && !tracked.is_replaced
-                && !self.is_failing(&tracked.endpoint)
+                && !self.ejections.is_failing(&tracked.endpoint)
         };
         let sources: Vec<&Tracked> = self.endpoints.iter().filter(is_source).collect();
         let names: Vec<&str> = sources.iter().map(|tracked| &*tracked.endpoint.id).collect();
@@ -410,16 +366,6 @@
         Some(sources[source].endpoint.address)
     }
 
-    fn outliers_of(&self, service: &str) -> Option<&Outliers> {
-        let index = find_service(&self.outliers, service).ok()?;
-        Some(&self.outliers[index].1)
-    }
-
-    fn is_failing(&self, endpoint: &Endpoint) -> bool {
-        let outliers = self.outliers_of(&endpoint.service);
-        outliers.is_some_and(|outliers| outliers.is_failing(&endpoint.id))
-    }
-
     /// Leaves out ejected endpoints. The outlier ejection never ejects so many that the others
     /// can't carry the load; if all available endpoints are ejected, none is left out.
     fn without_ejected<'a>(
@@ -428,7 +374,7 @@
         available: Vec<&'a Tracked>,
         now: Duration,
     ) -> Vec<&'a Tracked> {
-        let Some(outliers) = self.outliers_of(service) else { return available };
+        let Some(outliers) = self.ejections.find(service) else { return available };
         let names: Vec<&str> = available.iter().map(|tracked| &*tracked.endpoint.id).collect();
         let verdicts = outliers.verdicts(&names, now);
         let pairs = available.iter().zip(verdicts);
@@ -437,33 +383,3 @@
         if healthy.is_empty() { available } else { healthy }
     }
 }
-
-impl Tracked {
-    fn new(endpoint: Endpoint, seed: u64) -> Tracked {
-        let endpoint = Arc::new(endpoint);
-        Tracked {
-            limiter: Limiter::new(start_id(&endpoint), seed),
-            endpoint,
-            occupancy: Occupancy::default(),
-            missing_until: None,
-            is_replaced: false,
-        }
-    }
-
-    /// Whether a request with these criteria may be sent to it.
-    fn is_available(&self, criteria: &Criteria<'_>) -> bool {
-        let endpoint = &self.endpoint;
-        *endpoint.service == *criteria.service
-            && endpoint.state == State::Ready
-            && !self.is_replaced
-            && !criteria.tried.contains(&endpoint.id)
-    }
-}
-
-fn find_service<T>(services: &[(Arc<str>, T)], service: &str) -> Result<usize, usize> {
-    services.binary_search_by(|(name, _)| (**name).cmp(service))
-}
-
-fn start_id(endpoint: &Endpoint) -> quarantine::StartId {
-    quarantine::start_id(&endpoint.id, endpoint.started_ms)
-}
--- /dev/null
+++ b/crates/gateway/src/tracked.rs
@@ -0,0 +1,55 @@
+//! An endpoint as this gateway sees it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use policy::occupancy::Occupancy;
+use policy::quarantine;
+use policy::rate_limit::Limiter;
+use route::Endpoint;
+use route::endpoint::State;
+
+use crate::criteria::Criteria;
+
+/// An endpoint and what this gateway has observed of it.
+#[derive(Debug)]
+pub(crate) struct Tracked {
+    pub(crate) endpoint: Arc<Endpoint>,
+    pub(crate) occupancy: Occupancy,
+    /// Set if its announcement is missing: the endpoint is removed at this time.
+    pub(crate) missing_until: Option<Duration>,
+    /// Whether another endpoint has responded at its address.
+    pub(crate) is_replaced: bool,
+    /// Its limit of the requests of all gateways, if it names one.
+    pub(crate) limiter: Limiter,
+}
+
+impl Tracked {
+    /// Creates the state of an endpoint of which nothing was observed. The seed is another one in each
+    /// process.
+    pub(crate) fn new(endpoint: Endpoint, seed: u64) -> Tracked {
+        let start_id = quarantine::start_id(&endpoint.id, endpoint.started_ms);
+        let endpoint = Arc::new(endpoint);
+        Tracked {
+            limiter: Limiter::new(start_id, seed),
+            endpoint,
+            occupancy: Occupancy::default(),
+            missing_until: None,
+            is_replaced: false,
+        }
+    }
+
+    /// Whether a request with these criteria may be sent to it.
+    pub(crate) fn is_available(&self, criteria: &Criteria<'_>) -> bool {
+        let endpoint = &self.endpoint;
+        *endpoint.service == *criteria.service
+            && endpoint.state == State::Ready
+            && !self.is_replaced
+            && !criteria.tried.contains(&endpoint.id)
+    }
+
+    /// Returns the id of its start.
+    pub(crate) fn start_id(&self) -> quarantine::StartId {
+        quarantine::start_id(&self.endpoint.id, self.endpoint.started_ms)
+    }
+}
