Say when a limit that the fleet exceeds has a permit, and test the parts of limits

A client that was refused while the fleet's requests exceeded a limit was told to come back at once if this gateway had a permit. It is told when the excess has left the span.

--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -12,7 +12,7 @@
 mod mirror;
 mod peers;
 mod registration;
-mod restore;
+mod restores;
 mod stored;
 
 pub(crate) use exchange::Exchange;
@@ -24,4 +24,4 @@
 pub use mirror::Mirror;
 pub use peers::Peers;
 pub use registration::register;
-pub(crate) use restore::Restores;
+pub(crate) use restores::Restores;
--- a/crates/policy/src/rate_limit/limiter.rs
+++ b/crates/policy/src/rate_limit/limiter.rs
@@ -57,8 +57,9 @@
     bucket: Bucket,
     /// Permits per second at the last refill.
     rate: f64,
-    /// Whether the fleet has sent so much lately that nothing more may be sent.
-    is_exceeded: bool,
+    /// Requests that the fleet has sent lately beyond the most that it may; nothing more may be sent
+    /// unless it is negative.
+    excess: f64,
     sent: Window,
     others: Option<Others>,
 }
@@ -84,7 +85,7 @@
             ended: None,
             bucket: Bucket::default(),
             rate: 0.0,
-            is_exceeded: false,
+            excess: f64::NEG_INFINITY,
             sent: Window::default(),
             others: None,
         }
@@ -159,12 +160,12 @@
         let validity = (VALIDITY_REQUESTS * interval).clamp(MIN_VALIDITY_S, MAX_VALIDITY_S);
         let idle_depth = (IDLE_BURST + max_rate * IDLE_BURST_S) / all;
         self.bucket.refill(self.rate, idle_depth.max(self.rate * validity), now);
-        self.is_exceeded = sent >= due * (1.0 + MAX_EXCESS) + MAX_EXCESS_REQUESTS;
+        self.excess = sent - due * (1.0 + MAX_EXCESS) - MAX_EXCESS_REQUESTS;
     }
 
     /// Whether a request may be sent to the endpoint, as of the last [`Limiter::refill`].
     pub fn allows(&self) -> bool {
-        self.max_rate().is_none() || (!self.is_exceeded && self.bucket.has_permit())
+        self.max_rate().is_none() || (self.excess < 0.0 && self.bucket.has_permit())
     }
 
     /// Counts a request that is sent to the endpoint.
@@ -178,6 +179,10 @@
     /// Returns the time until this gateway may send a request, if it gets none before, and its
     /// permits per second, as of the last [`Limiter::refill`].
     pub fn next_permit(&self) -> (Duration, f64) {
-        (self.bucket.wait(self.rate), self.rate)
+        let max_rate = self.max_rate().unwrap_or_default().max(MIN_RATE);
+        // Requests leave the span as fast as they were sent, about at the limit.
+        let over = if self.excess < 0.0 { 0.0 } else { (self.excess + 1.0) / max_rate };
+        let over = Duration::try_from_secs_f64(over).unwrap_or(Duration::MAX);
+        (self.bucket.wait(self.rate).max(over), self.rate)
     }
 }
