Divide limits among many gateways while their number is unknown, and bound queues of returning clients

A gateway that had not looked up the others yet took a limit for its own: read in the code, shown by a test (5 s of requests: at most 3 may be sent). It divides by the largest fleet of the design until it knows. A registration that failed is tried again after 3 s, not 20.

--- a/crates/gateway/src/peer/registration.rs
+++ b/crates/gateway/src/peer/registration.rs
@@ -36,6 +36,9 @@
 /// Interval between renewals of the lease. Two in a row may fail before it expires.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(20);
 
+/// Interval between attempts to register while they fail.
+const RETRY_INTERVAL: Duration = Duration::from_secs(3);
+
 /// Time over which gateways spread their registrations after the store has come back from a copy.
 const RESTORE_SPREAD: Duration = Duration::from_millis(1_000);
 
@@ -78,7 +81,8 @@
         let mut lease = None;
         loop {
             lease = self.renew(lease).await;
-            if restores.wait(RENEWAL_INTERVAL).await {
+            let pause = if lease.is_some() { RENEWAL_INTERVAL } else { RETRY_INTERVAL };
+            if restores.wait(pause).await {
                 lease = None;
                 sleep(RESTORE_SPREAD.mul_f64(rand::rng().random())).await;
             }
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -27,6 +27,10 @@
 use crate::endpoints::Endpoints;
 use crate::quarantine::Quarantine;
 
+/// Gateways among which limits of endpoints are divided while their number isn't known: as many as
+/// the largest fleet has that this is designed for.
+const MAX_GATEWAYS: u32 = 360;
+
 /// The routing table in force, the known endpoints and the number of gateways, shared by all
 /// tasks of a gateway.
 #[derive(Debug)]
@@ -144,7 +148,11 @@
     /// Chooses the endpoint of a request, and counts the request as in flight there until
     /// [`Routing::request_ended`] is called.
     pub(crate) fn choose(&self, criteria: &Criteria<'_>) -> Option<Choice> {
-        self.endpoints.lock().choose(criteria, self.gateways(), self.now())
+        let gateways = match self.gateways() {
+            0 => MAX_GATEWAYS,
+            registered => registered,
+        };
+        self.endpoints.lock().choose(criteria, gateways, self.now())
     }
 
     /// Records the end of a request at an endpoint.
--- a/crates/gateway/tests/sessions/limits.rs
+++ b/crates/gateway/tests/sessions/limits.rs
@@ -104,6 +104,16 @@
     assert!(times.len() >= 20, "only {} of 28 were sent", times.len());
 }
 
+#[test]
+fn a_gateway_that_does_not_know_how_many_there_are_sends_a_whole_limit() {
+    let endpoint = Endpoint::start("e1", vec![limited(4.0)]);
+    let fixture = Fixture::new("plain", &[&endpoint]);
+    fixture.routing.set_gateways(0);
+    let (answered, _) = press(fixture.address, Duration::from_secs(5));
+    // The limit is told by the first response.
+    assert!(answered.len() <= 3, "{} sent", answered.len());
+}
+
 #[test]
 fn requests_go_where_no_limit_is_reached() {
     let limited = Endpoint::start("e1", vec![limited(1.0)]);
--- a/crates/gateway/tests/sessions/support/fixture.rs
+++ b/crates/gateway/tests/sessions/support/fixture.rs
@@ -70,6 +70,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
         let routing = Arc::new(Routing::default());
+        routing.set_gateways(1);
         let stop = CancellationToken::new();
         let context = Context {
             dialect: Arc::new(Codec),
--- a/crates/policy/src/rate_limit/promises.rs
+++ b/crates/policy/src/rate_limit/promises.rs
@@ -2,8 +2,11 @@
 
 use std::time::Duration;
 
-/// Most times that are kept; later clients are told the last one.
-const MAX_PROMISES: usize = 4_096;
+use crate::rate_limit::SPAN;
+
+/// Longest time for which clients queue up. Some of them come back earlier, elsewhere or not at all,
+/// so a longer queue would tell times that are far too late.
+const MAX_AHEAD: Duration = SPAN;
 
 /// Clients of a service that were refused for a limit and told when to come back.
 ///
@@ -21,8 +24,9 @@
         let passed = self.times.partition_point(|time| *time <= now);
         self.times.drain(..passed);
         let ahead = self.times.len() as f64 / rate;
-        let delay = first.saturating_add(Duration::try_from_secs_f64(ahead).unwrap_or_default());
-        if self.times.len() < MAX_PROMISES {
+        let ahead = Duration::try_from_secs_f64(ahead).unwrap_or_default();
+        let delay = first.saturating_add(ahead.min(MAX_AHEAD));
+        if ahead < MAX_AHEAD {
             let time = now.saturating_add(delay);
             let index = self.times.partition_point(|known| *known <= time);
             self.times.insert(index, time);
