--- a/crates/services/src/meter.rs
+++ b/crates/services/src/meter.rs
@@ -1,4 +1,4 @@
-//! Counts calls of the key-value service by outcome; `docs/METRICS.md` lists the metric.
+//! Counts calls of the key-value service by outcome, and its restores; `docs/METRICS.md` lists the metric.
 
 use std::future::Future;
 
@@ -24,6 +24,11 @@
     work.boxed_local()
 }
 
+/// Counts that the store has come back from a copy.
+pub fn restored() {
+    counter!("lycheeknot_store_restores_total").increment(1);
+}
+
 fn outcome<T>(result: &Result<T, Error>) -> &'static str {
     match result {
         Ok(_) => "done",
