Bound the limits of endpoints that are reckoned with

An endpoint that named a limit near the largest number and then a usual one got no request any more until its limit ended: the permits had become infinite, and the next refill took infinity from infinity. The rate is bounded to a million a second. The test failed before for the largest number (0 sent in 4 s at a limit of 5 a second) and passed for 1e300 and 1e18, which it plays as well.

--- a/crates/policy/src/rate_limit.rs
+++ b/crates/policy/src/rate_limit.rs
@@ -30,3 +30,7 @@
 /// Lowest rate, in requests per second, at which requests are sent to an endpoint whatever it names:
 /// only its responses tell that a limit has ended.
 pub const MIN_RATE: f64 = 0.2;
+
+/// Highest rate, in requests per second, that is reckoned with: far more than an endpoint takes. With
+/// the largest numbers that can be named, permits would overflow and never be right again.
+pub const MAX_RATE: f64 = 1e6;
--- a/crates/policy/src/rate_limit/limiter.rs
+++ b/crates/policy/src/rate_limit/limiter.rs
@@ -4,6 +4,7 @@
 
 use crate::quarantine::StartId;
 use crate::rate_limit::Bucket;
+use crate::rate_limit::MAX_RATE;
 use crate::rate_limit::MIN_RATE;
 use crate::rate_limit::Row;
 use crate::rate_limit::SPAN;
@@ -140,7 +141,7 @@
     /// the latest [`SPAN`], and `registered` that of all gateways.
     pub fn refill(&mut self, wanted: u32, registered: u32, now: Duration) {
         let Some(max_rate) = self.max_rate() else { return };
-        let max_rate = max_rate.max(MIN_RATE);
+        let max_rate = max_rate.clamp(MIN_RATE, MAX_RATE);
         let others = self.others.filter(|others| now.saturating_sub(others.at) < OTHERS_TTL);
         let known = f64::from(others.map_or(0, |others| others.gateways)) + 1.0;
         // Gateways of which nothing is known are taken to have as much traffic as the known ones.
@@ -179,7 +180,7 @@
     /// Returns the time until this gateway may send a request, if it gets none before, and its
     /// permits per second, as of the last [`Limiter::refill`].
     pub fn next_permit(&self) -> (Duration, f64) {
-        let max_rate = self.max_rate().unwrap_or_default().max(MIN_RATE);
+        let max_rate = self.max_rate().unwrap_or_default().clamp(MIN_RATE, MAX_RATE);
         // Requests leave the span as fast as they were sent, about at the limit.
         let over = if self.excess < 0.0 { 0.0 } else { (self.excess + 1.0) / max_rate };
         let over = Duration::try_from_secs_f64(over).unwrap_or(Duration::MAX);
--- a/crates/policy/tests/rate_limit.rs
+++ b/crates/policy/tests/rate_limit.rs
@@ -130,3 +130,23 @@
     // Fourteen requests are 3.7 more than may be, and leave the span at two a second.
     assert!(wait >= millis(1_500) && wait <= millis(3_000), "{wait:?}");
 }
+
+#[test]
+fn a_limit_beyond_all_measure_stops_an_endpoint_that_names_a_usual_one_later() {
+    for huge in [f64::MAX, 1e300, 1e18] {
+        let mut limiter = Limiter::new(7, 1);
+        limiter.set_max_rate(Some(huge), millis(1_000));
+        let mut sent = 0;
+        for now in (1_000..11_000).step_by(50) {
+            if now == 3_000 {
+                limiter.set_max_rate(Some(5.0), millis(now));
+            }
+            limiter.refill(20, 1, millis(now));
+            if limiter.allows() {
+                limiter.record_sent(millis(now));
+                sent += u32::from(now >= 7_000);
+            }
+        }
+        assert!((16..=25).contains(&sent), "{sent} sent in 4 s after a limit of {huge}");
+    }
+}
