Reword, share and rename what a newcomer stumbled over

Found by reading the change once more: comments that only their writer could read, constants that shared one comment, one time to live of reports in three places, two functions for the id of an endpoint's start, the restore of the stand-in store written twice in tests (it is a function of the stand-in now), and Process::thaw, which resumes a process. Nothing that the program does changes.

--- a/crates/backend/tests/plain.rs
+++ b/crates/backend/tests/plain.rs
@@ -16,7 +16,7 @@
 use wire::Work;
 use wire::work::Call;
 
-/// How a server ends its connection.
+/// How a test server closes its connection after a response.
 #[derive(Clone, Copy)]
 enum Ending {
     Close,
--- a/crates/fleet/src/process.rs
+++ b/crates/fleet/src/process.rs
@@ -125,7 +125,7 @@
         let _ = self.child.wait();
     }
 
-    /// Suspends it with `SIGSTOP` until [`Process::thaw`]; its connections stay open.
+    /// Suspends it with `SIGSTOP` until [`Process::resume`]; its connections stay open.
     ///
     /// # Errors
     ///
@@ -139,7 +139,7 @@
     /// # Errors
     ///
     /// [`Error::Signal`] if it has ended.
-    pub fn thaw(&self) -> Result<(), Error> {
+    pub fn resume(&self) -> Result<(), Error> {
         self.signal(Signal::CONT)
     }
 
--- a/crates/fleet/tests/process.rs
+++ b/crates/fleet/tests/process.rs
@@ -56,7 +56,7 @@
     process.wait_until_listening().unwrap();
     process.freeze().unwrap();
     wait_for(process.pid(), |state| state == Some('T'));
-    process.thaw().unwrap();
+    process.resume().unwrap();
     process.terminate().unwrap();
     assert!(process.wait(STOP_TIMEOUT));
 }
--- a/crates/fleet/tests/sessions/centres.rs
+++ b/crates/fleet/tests/sessions/centres.rs
@@ -37,7 +37,7 @@
     confirm_second(&fixture);
     wait_until_in_force(&fixture, &rest, 2.0).await;
     for node in &partitioned {
-        node.process.thaw().expect("a running process");
+        node.process.resume().expect("a running process");
     }
     let all: Vec<&Node> = fixture.fleet.nodes().collect();
     wait_until_in_force(&fixture, &all, 2.0).await;
--- a/crates/fleet/tests/sessions/faults.rs
+++ b/crates/fleet/tests/sessions/faults.rs
@@ -71,7 +71,7 @@
         progress.wait_for(SECOND_FAULT_AT, FAULT_MAX_DURATION).await;
         fixture.fleet.entries[0].process.kill();
         progress.wait_for(RECOVERY_AT, FAULT_MAX_DURATION).await;
-        fixture.fleet.endpoints[index].agent.process.thaw().expect("a running process");
+        fixture.fleet.endpoints[index].agent.process.resume().expect("a running process");
     };
     let (exchanges, ()) = join!(load.run(), fail);
     let summary = Summary::check(&fixture, &exchanges, Some(0)).await;
@@ -93,7 +93,7 @@
         agent.freeze().expect("a running process");
         fixture.client.post(&url, &Faults::default()).await.expect("the stand-in answers");
         sleep(FREEZE_DURATION).await;
-        agent.thaw().expect("a running process");
+        agent.resume().expect("a running process");
     };
     let (first, ()) = join!(book(&fixture, 0), freeze);
     eprintln!("the frozen holder: {first:?}");
--- a/crates/fleet/tests/sessions/freezes.rs
+++ b/crates/fleet/tests/sessions/freezes.rs
@@ -42,7 +42,7 @@
         fixture.wait_until_busy(index).await;
         agent.freeze().expect("a running process");
         progress.wait_for(THAW_AT, FREEZE_MAX_DURATION).await;
-        agent.thaw().expect("a running process");
+        agent.resume().expect("a running process");
     };
     let (exchanges, ()) = join!(load.run(), freeze);
     let summary = Summary::check(&fixture, &exchanges, None).await;
--- a/crates/fleet/tests/soak/cluster.rs
+++ b/crates/fleet/tests/soak/cluster.rs
@@ -238,13 +238,13 @@
     pub async fn end_fault(&mut self, fault: &Fault) {
         match fault {
             Fault::KillGateway(index) => self.restart(*index),
-            Fault::FreezeGateway(index) => self.gateways[*index].process.thaw().unwrap_or(()),
+            Fault::FreezeGateway(index) => self.gateways[*index].process.resume().unwrap_or(()),
             Fault::StopGateway(index) => {
                 let gateway = &mut self.gateways[*index];
                 // Another fault may have killed, restarted or frozen the process meanwhile.
                 while gateway.process.is_running() && gateway.process.terminate().is_ok() {
                     sleep(Duration::from_millis(20)).await;
-                    let _ = gateway.process.thaw();
+                    let _ = gateway.process.resume();
                 }
                 self.restart(*index);
             }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -132,7 +132,7 @@
     if let Some(load) = reply.load {
         routing.record_load(&endpoint.id, load);
     }
-    // A refusal tells nothing of a limit unless it names one.
+    // Only a success without a limit says that the endpoint has none: refusals may lack the header.
     if reply.max_rate.is_some() || status.is_success() {
         routing.record_max_rate(&endpoint.id, reply.max_rate);
     }
--- a/crates/gateway/src/crash_check.rs
+++ b/crates/gateway/src/crash_check.rs
@@ -17,9 +17,11 @@
 /// listens some time later.
 const PAUSES: [Duration; 2] = [Duration::from_millis(20), Duration::from_millis(200)];
 
-/// Records that a request broke off at an endpoint, and begins to check whether the endpoint has
-/// crashed. `begun` is the time since the response began, if it did; `is_repeated` tells whether
-/// the request had broken off at another endpoint before.
+/// Records that a request broke off at an endpoint, and starts a check whether the endpoint has
+/// crashed.
+///
+/// `begun` is the time since the first byte of the response, if there was one. `is_repeated` is set
+/// if the request had broken off at another endpoint before.
 pub(crate) fn start(
     worker: &Rc<Worker>,
     request: &Request,
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -19,6 +19,7 @@
 use crate::criteria::Criteria;
 use crate::demands::Demands;
 use crate::ejections::Ejections;
+use crate::quarantine::start_id;
 use crate::record;
 use crate::removed::Removed;
 use crate::tracked::Tracked;
@@ -237,7 +238,7 @@
     /// gateways.
     pub(crate) fn set_other_usage(&mut self, usage: &Usage, gateways: u32, now: Duration) {
         for tracked in &mut self.endpoints {
-            let row = usage.row(tracked.start_id());
+            let row = usage.row(start_id(&tracked.endpoint));
             if tracked.limiter.learn(row, gateways, now) {
                 record::limit(&tracked.endpoint, tracked.limiter.max_rate(), "gateway");
             }
--- a/crates/gateway/src/peer/member.rs
+++ b/crates/gateway/src/peer/member.rs
@@ -17,8 +17,8 @@
     pub address: SocketAddr,
     /// Its processor share in thousandths of a core.
     pub capacity: u32,
-    /// Format of the versions by which it tells changes of the store; 0 for builds whose versions
-    /// don't order changes across restores.
+    /// Format of the store's versions in its answers as a relay. It is 0 for builds whose versions
+    /// don't order changes across restores of the store.
     #[serde(default)]
     pub format: u32,
 }
--- a/crates/gateway/src/peer/mirror.rs
+++ b/crates/gateway/src/peer/mirror.rs
@@ -105,8 +105,8 @@
         self.find(prefix).map_or(0, |index| self.subtrees[index].listing.version)
     }
 
-    /// Returns how often the store has come back from a copy, as far as that is known; `None` while
-    /// no keys are known.
+    /// Returns the number of restores of the store before its latest known version; `None` while no
+    /// keys are known.
     pub fn restores(&self) -> Option<u64> {
         let known = self.subtrees.iter().map(|subtree| subtree.listing.version);
         known.filter(|version| *version > 0).map(restores).max()
--- a/crates/gateway/src/peer/peers.rs
+++ b/crates/gateway/src/peer/peers.rs
@@ -55,7 +55,7 @@
     exchange: Mutex<Exchange>,
     /// Signals changes of the mirror.
     changed: watch::Sender<()>,
-    /// How often the store has come back from a copy, as far as this gateway knows.
+    /// Number of restores of the store that this gateway knows of; `None` before its first read.
     restores: watch::Sender<Option<u64>>,
     routing: Arc<Routing>,
 }
@@ -195,8 +195,8 @@
         });
     }
 
-    /// Returns how often the store has come back from a copy, with its changes.
-    pub(crate) fn restores(&self) -> watch::Receiver<Option<u64>> {
+    /// Subscribes to the number of restores of the store that this gateway knows of.
+    pub(crate) fn subscribe_restores(&self) -> watch::Receiver<Option<u64>> {
         self.restores.subscribe()
     }
 
--- a/crates/gateway/src/peer/registration.rs
+++ b/crates/gateway/src/peer/registration.rs
@@ -42,8 +42,8 @@
 /// Time over which gateways spread their registrations after the store has come back from a copy.
 const RESTORE_SPREAD: Duration = Duration::from_millis(1_000);
 
-/// How long the other gateways are not looked up after that, since their registrations may be
-/// missing: the time to notice it and [`RESTORE_SPREAD`].
+/// Pause before the next lookup of the other gateways after a restore. Until they have noticed it
+/// and registered again, within [`RESTORE_SPREAD`], a lookup would find too few of them.
 const RESTORE_PAUSE: Duration = Duration::from_millis(3_000);
 
 /// Interval between the first lookups of the other gateways, while the whole fleet may be
--- a/crates/gateway/src/peer/restores.rs
+++ b/crates/gateway/src/peer/restores.rs
@@ -17,7 +17,7 @@
 impl Restores {
     /// Starts to look out for restores from now on.
     pub(crate) fn new(peers: &Peers) -> Restores {
-        let mut receiver = peers.restores();
+        let mut receiver = peers.subscribe_restores();
         let known = *receiver.borrow_and_update();
         Restores { receiver, known }
     }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -90,6 +90,7 @@
     }
 }
 
-fn start_id(endpoint: &Endpoint) -> StartId {
+/// Returns the id of an endpoint's start.
+pub(crate) fn start_id(endpoint: &Endpoint) -> StartId {
     quarantine::start_id(&endpoint.id, endpoint.started_ms)
 }
--- a/crates/gateway/src/tracked.rs
+++ b/crates/gateway/src/tracked.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use policy::occupancy::Occupancy;
-use policy::quarantine;
 use policy::rate_limit::Limiter;
 use route::Endpoint;
 use route::endpoint::State;
 
 use crate::criteria::Criteria;
+use crate::quarantine::start_id;
 
 /// An endpoint and what this gateway has observed of it.
 #[derive(Debug)]
@@ -25,14 +25,12 @@
 }
 
 impl Tracked {
-    /// Creates the state of an endpoint of which nothing was observed. The seed is another one in each
-    /// process.
+    /// Creates the state of an endpoint of which nothing was observed. The seed has to be another one
+    /// in each process.
     pub(crate) fn new(endpoint: Endpoint, seed: u64) -> Tracked {
-        let start_id = quarantine::start_id(&endpoint.id, endpoint.started_ms);
-        let endpoint = Arc::new(endpoint);
         Tracked {
-            limiter: Limiter::new(start_id, seed),
-            endpoint,
+            limiter: Limiter::new(start_id(&endpoint), seed),
+            endpoint: Arc::new(endpoint),
             occupancy: Occupancy::default(),
             missing_until: None,
             is_replaced: false,
@@ -47,9 +45,4 @@
             && !self.is_replaced
             && !criteria.tried.contains(&endpoint.id)
     }
-
-    /// Returns the id of its start.
-    pub(crate) fn start_id(&self) -> quarantine::StartId {
-        quarantine::start_id(&self.endpoint.id, self.endpoint.started_ms)
-    }
 }
--- a/crates/gateway/tests/restores.rs
+++ b/crates/gateway/tests/restores.rs
@@ -5,11 +5,8 @@
 mod entries;
 
 use std::cell::Cell;
-use std::io::Read;
-use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpListener;
-use std::net::TcpStream;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -54,20 +51,6 @@
     (server, client)
 }
 
-/// Lets the store come back from the copy of a revision.
-fn restore(server: &Server, revision: u64) {
-    let body = format!(r#"{{"revision":{revision}}}"#);
-    let mut stream = TcpStream::connect(server.addr()).expect("a store");
-    let head = format!(
-        "POST /standin/restore HTTP/1.1\r\nHost: s\r\nConnection: close\r\nContent-Length: {}\r\n\r\n",
-        body.len()
-    );
-    stream.write_all((head + &body).as_bytes()).expect("a connection");
-    let mut answer = String::new();
-    stream.read_to_string(&mut answer).expect("an answer");
-    assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
-}
-
 async fn write(client: &Client, key: &str, value: Vec<u8>) {
     let put = Put { key: key.to_owned(), value, lease: None };
     let written = client.commit(&Commit { puts: vec![put], ..Commit::default() }).await;
@@ -170,7 +153,7 @@
         sleep(SETTLED).await;
         glances.is_away.set(true);
         sleep(SETTLED).await;
-        restore(&server, 1);
+        key_value::restore(&server, 1).expect("a restore");
         // The revisions that the gateway knows are given out again.
         write_table(&client, 4).await;
         announce(&client, "b", "ready", 1).await;
@@ -210,7 +193,7 @@
         sleep(SETTLED).await;
         glances.is_away.set(true);
         sleep(SETTLED).await;
-        restore(&server, 1);
+        key_value::restore(&server, 1).expect("a restore");
         glances.is_away.set(false);
         sleep(SETTLED).await;
         write_table(&client, 4).await;
@@ -248,7 +231,7 @@
         announce(&client, "a", "draining", 2).await;
         withdraw(&client, "b").await;
         wait_until(peers.routing(), "3 a Leaving").await;
-        restore(&server, 4);
+        key_value::restore(&server, 4).expect("a restore");
         let start = Instant::now();
         while start.elapsed() < CHANGE_BOUND {
             assert_eq!(summary(peers.routing()), "3 a Leaving");
@@ -280,7 +263,7 @@
         sleep(SETTLED).await;
         glances.is_away.set(true);
         sleep(SETTLED).await;
-        restore(&server, 3);
+        key_value::restore(&server, 3).expect("a restore");
         glances.is_slow.set(true);
         glances.is_away.set(false);
         sleep(SETTLED).await;
@@ -323,7 +306,7 @@
             assert!(start.elapsed() < Duration::from_secs(5), "nothing is written");
             sleep(Duration::from_millis(50)).await;
         }
-        restore(&server, 3);
+        key_value::restore(&server, 3).expect("a restore");
         assert!(!is_written().await);
         // The ids of the lost leases are given to somebody else.
         for _ in 0..3 {
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -92,6 +92,8 @@
     if let Some(preferred) = preferred(query, candidates) {
         move_to_front(preferred, &mut order);
     }
+    // A permit for a limited endpoint lapses if it isn't used, so that endpoint is chosen before one
+    // at which the request has to wait.
     let spare =
         |index: &&usize| candidates[**index].is_limited && has_free_slot(&candidates[**index]);
     let is_full = order.first().is_some_and(|first| !has_free_slot(&candidates[*first]));
@@ -101,8 +103,7 @@
     order
 }
 
-/// Whether a request need not wait for a slot. Where the first choice of a request has none, the
-/// permit for a limited endpoint is used, which would lapse otherwise.
+/// Whether a request that is sent to an endpoint need not wait for a slot.
 fn has_free_slot(candidate: &Candidate<'_>) -> bool {
     candidate.requests <= free_slots(candidate.slots)
 }
--- a/crates/policy/src/exchange.rs
+++ b/crates/policy/src/exchange.rs
@@ -10,6 +10,7 @@
 mod sheet;
 
 pub use ledger::Ledger;
+pub(crate) use ledger::REPORT_TTL;
 pub use ledger::Rejection;
 pub use ledger::Report;
 pub use sheet::Fingerprint;
--- a/crates/policy/src/exchange/ledger.rs
+++ b/crates/policy/src/exchange/ledger.rs
@@ -9,7 +9,7 @@
 
 /// A report counts for this time: four intervals between reports, so that one that is lost
 /// or late takes nothing away, and a gateway that was killed is forgotten early.
-const REPORT_TTL: Duration = Duration::from_millis(1_000);
+pub(crate) const REPORT_TTL: Duration = Duration::from_millis(1_000);
 
 /// Reports of a gateway that has just started: several, so that one answer may be lost.
 const NEW_REPORTS: u64 = 8;
--- a/crates/policy/src/rate_limit/ledger.rs
+++ b/crates/policy/src/rate_limit/ledger.rs
@@ -5,11 +5,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::exchange::REPORT_TTL;
 use crate::rate_limit::Usage;
 
-/// A report counts for this time, as in the exchange of loads.
-const REPORT_TTL: Duration = Duration::from_millis(1_000);
-
 /// A gateway's requests at limited endpoints, with those that it answers for.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Report {
--- a/crates/policy/src/rate_limit/limiter.rs
+++ b/crates/policy/src/rate_limit/limiter.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::exchange::REPORT_TTL;
 use crate::quarantine::StartId;
 use crate::rate_limit::Bucket;
 use crate::rate_limit::MAX_RATE;
@@ -10,9 +11,6 @@
 use crate::rate_limit::SPAN;
 use crate::rate_limit::Window;
 
-/// What others report counts for this time, as in the exchange of loads.
-const OTHERS_TTL: Duration = Duration::from_millis(1_000);
-
 /// For this time a gateway tells others that a limit has ended.
 const ENDED_TTL: Duration = Duration::from_secs(2);
 
@@ -27,19 +25,28 @@
 /// See [`BOOST_GAIN`].
 const MAX_BOOST: f64 = 1.4;
 
-/// Time for which an unused permit is kept, in seconds: that of several requests of the gateway,
-/// within these bounds.
+/// An unused permit is kept for the time of this many requests of the gateway, so that one of them
+/// can use it.
+const VALIDITY_REQUESTS: f64 = 6.0;
+
+/// Shortest time for which an unused permit is kept, in seconds.
 const MIN_VALIDITY_S: f64 = 0.5;
+
+/// Longest time for which an unused permit is kept, in seconds.
 const MAX_VALIDITY_S: f64 = 4.0;
-const VALIDITY_REQUESTS: f64 = 6.0;
 
-/// Requests that all idle gateways together may send at once, beside half a second of the limit.
+/// Idle gateways together may send this many requests at once, and what the limit allows in
+/// [`IDLE_BURST_S`].
 const IDLE_BURST: f64 = 1.0;
+
+/// See [`IDLE_BURST`]; in seconds.
 const IDLE_BURST_S: f64 = 0.5;
 
-/// Excess over the limit in [`SPAN`] at which nothing more is sent: a share of it and some requests.
-/// It makes up for what gateways send before they hear of each other.
+/// Nothing more is sent while the requests of [`SPAN`] exceed the limit by this share of it and by
+/// [`MAX_EXCESS_REQUESTS`]. What gateways send before they hear of each other comes on top.
 const MAX_EXCESS: f64 = 0.1;
+
+/// See [`MAX_EXCESS`].
 const MAX_EXCESS_REQUESTS: f64 = 1.5;
 
 /// Bits of a seed that make up a phase from 0 to 1.
@@ -142,7 +149,7 @@
     pub fn refill(&mut self, wanted: u32, registered: u32, now: Duration) {
         let Some(max_rate) = self.max_rate() else { return };
         let max_rate = max_rate.clamp(MIN_RATE, MAX_RATE);
-        let others = self.others.filter(|others| now.saturating_sub(others.at) < OTHERS_TTL);
+        let others = self.others.filter(|others| now.saturating_sub(others.at) < REPORT_TTL);
         let known = f64::from(others.map_or(0, |others| others.gateways)) + 1.0;
         // Gateways of which nothing is known are taken to have as much traffic as the known ones.
         let all = f64::from(registered).max(known);
--- a/crates/policy/tests/rate_limit.rs
+++ b/crates/policy/tests/rate_limit.rs
@@ -68,7 +68,7 @@
     assert_eq!(told, [millis(300), millis(800), millis(1_300), millis(1_800)]);
     // Those whose time is over are no longer ahead.
     assert_eq!(promises.next(millis(100), 2.0, millis(2_000)), millis(1_100));
-    // Clients that hammer don't put off the others for more than some seconds.
+    // Clients that retry at once don't put off the others for more than some seconds.
     let last = (0..100).map(|_| promises.next(millis(100), 2.0, millis(2_100))).last();
     assert_eq!(last, Some(millis(100) + SPAN));
 }
--- a/crates/standins/src/key_value/mod.rs
+++ b/crates/standins/src/key_value/mod.rs
@@ -13,7 +13,10 @@
 mod watch;
 
 use std::io;
+use std::io::Read;
+use std::io::Write;
 use std::net::SocketAddr;
+use std::net::TcpStream;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -74,3 +77,22 @@
         routes::configure(config, &service);
     })
 }
+
+/// Lets a running service come back from the copy of a revision: keys and leases of later ones are
+/// gone.
+///
+/// # Errors
+///
+/// The service can't be reached, or refuses.
+pub fn restore(server: &Server, revision: u64) -> io::Result<()> {
+    let body = format!(r#"{{"revision":{revision}}}"#);
+    let mut stream = TcpStream::connect(server.addr())?;
+    write!(
+        stream,
+        "POST /standin/restore HTTP/1.1\r\nHost: s\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer)?;
+    if answer.starts_with("HTTP/1.1 200 ") { Ok(()) } else { Err(io::Error::other(answer)) }
+}
