--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -10,6 +10,7 @@
 use http::header::HOST;
 use ntex::web::HttpRequest;
 use ntex::web::types::Payload;
+use policy::quarantine;
 use route::Account;
 use route::Metadata;
 use route::Rule;
@@ -40,7 +41,8 @@
     payload: Payload,
     start: Instant,
 ) -> Result<Request, Refusal> {
-    let (rule, account) = match authorise(table, &host(&headers), head.path(), &metadata) {
+    let host = host(&headers);
+    let (rule, account) = match authorise(table, &host, head.path(), &metadata) {
         Ok(authorised) => authorised,
         Err(refusal) => {
             discard(payload).await;
@@ -56,11 +58,14 @@
     let service = rule.service(metadata.id.as_deref().unwrap_or_default()).clone();
     let method = head.method().clone();
     let version = table.version();
+    let caller = account.as_ref().map_or("", |account| &account.name);
+    let content = quarantine::content_id(&host, &target, caller, &body);
     Ok(Request {
         method,
         target,
         headers,
         body,
+        content,
         metadata,
         rule,
         service,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -227,7 +227,8 @@
 fn fail(worker: &Rc<Worker>, request: &Request, endpoint: &Endpoint, failure: &Failure) -> Outcome {
     let is_ejected = worker.context.routing.record_failure(endpoint);
     log::warn!(id = request.id(), endpoint = &*endpoint.id, address:% = endpoint.address,
-        parts = request.part_names(), is_ejected; "{failure}");
+        content:% = format_args!("{:x}", request.content), parts = request.part_names(), is_ejected;
+        "{failure}");
     match failure {
         Failure::Unsent(_) | Failure::Refused(_) => Outcome::Unsent,
         Failure::Broken(_) => Outcome::Unknown,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -162,6 +162,7 @@
         let is_repeated = self.attempts.sent > 1;
         crash_check::start(&worker, &self.request, &source.endpoint, begun, is_repeated);
         log::warn!(id = self.request.id(), endpoint = &*source.endpoint.id,
+            content:% = format_args!("{:x}", self.request.content),
             parts = self.request.part_names(), last:? = self.events.last(),
             framing = self.framing.name(), rest = self.events.rest_len();
             "a stream broke off: {cause}");
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -8,6 +8,7 @@
 use http::Method;
 use http::header::CONTENT_LENGTH;
 use http_body_util::Full;
+use policy::quarantine::PartId;
 use policy::quarantine::Suspect;
 use route::Account;
 use route::Dialect;
@@ -27,6 +28,8 @@
     pub(crate) target: String,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Hash by which it is known when it comes again.
+    pub(crate) content: PartId,
     pub(crate) metadata: Metadata,
     pub(crate) rule: Arc<Rule>,
     pub(crate) service: Arc<str>,
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -21,6 +21,7 @@
 pub use register::Register;
 pub use successes::Successes;
 pub use suspect::Suspect;
+use xxhash_rust::xxh3::Xxh3;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Hash of a part of a prompt.
@@ -33,3 +34,15 @@
 pub fn start_id(endpoint: &str, started_ms: Option<u64>) -> StartId {
     xxh3_64(endpoint.as_bytes()) ^ started_ms.unwrap_or_default().rotate_left(32)
 }
+
+/// Returns the hash by which a request is known when it comes again, under another id and at any
+/// gateway: that of its host, its path with query, its client account and its body.
+pub fn content_id(host: &str, target: &str, account: &str, body: &[u8]) -> PartId {
+    let mut hasher = Xxh3::new();
+    for field in [host.as_bytes(), target.as_bytes(), account.as_bytes(), body] {
+        // The length keeps neighbouring fields apart.
+        hasher.update(&(field.len() as u64).to_le_bytes());
+        hasher.update(field);
+    }
+    hasher.digest()
+}
