Blame whole requests for crashes of endpoints, by the decision on parts

Cause: suspects of crashes were parts of prompts only. A request without a prompt was no suspect, so no gateway remembered it; the class is a safeguard keyed by a property that not all requests have.

Change: the content of a request (host, path, account, body) is one more part of each suspect, blamed by the same register, told and stored like parts. Requests sent again are marked as such for whole responses too; before only resumed streams were. Of several parts at as many crashes the one with the fewest requests is blamed.

Found, open: a sound request is refused after three refused connections while others live; its client comes back.

--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -11,6 +11,7 @@
 use ntex::web::HttpRequest;
 use ntex::web::types::Payload;
 use policy::quarantine;
+use policy::quarantine::Suspect;
 use route::Account;
 use route::Metadata;
 use route::Rule;
@@ -60,12 +61,14 @@
     let version = table.version();
     let caller = account.as_ref().map_or("", |account| &account.name);
     let content = quarantine::content_id(&host, &target, caller, &body);
+    let suspect = Suspect::of_request(content, metadata.parts.iter().map(|part| part.id));
     Ok(Request {
         method,
         target,
         headers,
         body,
         content,
+        suspect,
         metadata,
         rule,
         service,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -68,15 +68,17 @@
 
 /// Sends a request to an endpoint and waits for its response until the request's deadline.
 ///
-/// A stream that is resumed continues after the event with the id `last_event`.
+/// A stream that is resumed continues after the event with the id `last_event`. `is_repeated` is set
+/// if the request has broken off at another endpoint before.
 pub(crate) async fn send(
     worker: &Rc<Worker>,
     request: &Request,
     choice: &Choice,
     last_event: Option<u64>,
+    is_repeated: bool,
 ) -> Outcome {
     let in_flight = InFlight::new(&worker.context.routing, &choice.endpoint.id);
-    let exchange = exchange(worker, request, choice, last_event, in_flight);
+    let exchange = exchange(worker, request, choice, last_event, is_repeated, in_flight);
     let Ok(outcome) = timeout_at(request.deadline, exchange).await else {
         return Outcome::TimedOut;
     };
@@ -89,6 +91,7 @@
     request: &Request,
     choice: &Choice,
     last_event: Option<u64>,
+    is_repeated: bool,
     in_flight: InFlight,
 ) -> Outcome {
     let endpoint = &choice.endpoint;
@@ -115,7 +118,7 @@
         Ok(response) => response,
         Err(failure) => {
             if matches!(failure, Failure::Broken(_)) {
-                crash_check::start(worker, request, endpoint, None, last_event.is_some());
+                crash_check::start(worker, request, endpoint, None, is_repeated);
             }
             return fail(worker, request, endpoint, &failure);
         }
@@ -159,7 +162,7 @@
             return Outcome::NotRun;
         }
         Err(cause) => {
-            crash_check::start(worker, request, endpoint, Some(begun.elapsed()), false);
+            crash_check::start(worker, request, endpoint, Some(begun.elapsed()), is_repeated);
             return fail(worker, request, endpoint, &Failure::Broken(cause));
         }
     };
@@ -171,9 +174,7 @@
         routing.record_failure(endpoint);
     } else {
         routing.record_success(endpoint, sent.elapsed());
-    }
-    if let Some(suspect) = request.suspect().filter(|_| is_success) {
-        routing.record_sound(&suspect);
+        routing.record_sound(&request.suspect);
     }
     Outcome::Full(FullResponse { status, headers: head.headers, body })
 }
--- a/crates/gateway/src/crash_check.rs
+++ b/crates/gateway/src/crash_check.rs
@@ -29,12 +29,7 @@
     begun: Option<Duration>,
     is_repeated: bool,
 ) {
-    let Some(suspect) = request.suspect() else {
-        log::warn!(id = request.id(), endpoint = &*endpoint.id;
-            "a request broke off that shares no part; it is no suspect if the endpoint has crashed");
-        return;
-    };
-    let suspect = suspect.repeated(is_repeated);
+    let suspect = request.suspect.clone().repeated(is_repeated);
     if worker.context.routing.record_broken(endpoint, suspect, begun) {
         ntex::rt::spawn(check(Rc::clone(worker), Arc::clone(endpoint)));
     }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -37,6 +37,8 @@
     unsent: usize,
     /// Whether the request may have run in one of the attempts.
     may_have_run: bool,
+    /// Whether the request or its stream has broken off in one of the attempts.
+    pub(crate) has_broken_off: bool,
     /// The last server error of an endpoint; the client is sent it if no attempt succeeds.
     failure: Option<FullResponse>,
 }
@@ -101,6 +103,7 @@
             Outcome::Unknown => {
                 attempts.sent += 1;
                 attempts.may_have_run = true;
+                attempts.has_broken_off = true;
                 allow_repeat(worker, request, attempts)
             }
             Outcome::TimedOut => return Err(Refusal::Late),
@@ -120,20 +123,21 @@
     attempts: &mut Attempts,
     last_event: Option<u64>,
 ) -> Option<Outcome> {
-    // A part of the prompt may have been blamed since the attempt before.
+    // It may have been blamed since the attempt before.
     if blocked_for(worker, request).is_some() {
         return None;
     }
     let choice = choose_next(worker, request, attempts)?;
     attempts.tried.push(Arc::clone(&choice.endpoint.id));
-    let outcome = attempt::send(worker, request, &choice, last_event).await;
+    let outcome =
+        attempt::send(worker, request, &choice, last_event, attempts.has_broken_off).await;
     record::attempt(request, &choice.endpoint, &outcome);
     Some(outcome)
 }
 
 /// Returns how long requests like this one are refused, as they crash endpoints.
 fn blocked_for(worker: &Worker, request: &Request) -> Option<Duration> {
-    worker.context.routing.blocked_for(&request.suspect()?)
+    worker.context.routing.blocked_for(&request.suspect)
 }
 
 /// Chooses the endpoint of the next attempt, and counts the request as in flight there.
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -28,7 +28,7 @@
     NotRun,
     /// all endpoints have reached the limits that they named; it did not run, come back later
     Limited(Duration),
-    /// a part of its prompt has crashed endpoints; it did not run, send another one
+    /// it or a part of its prompt has crashed endpoints; it did not run, send another one
     Quarantined(Duration),
     /// an endpoint broke off; it may have run
     Unknown,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -133,9 +133,7 @@
         if let Some(source) = self.source.take() {
             self.worker.pool.put(source.connection);
         }
-        if let Some(suspect) = self.request.suspect() {
-            self.worker.context.routing.record_sound(&suspect);
-        }
+        self.worker.context.routing.record_sound(&self.request.suspect);
         self.log("ended");
     }
 
@@ -159,8 +157,9 @@
         let worker = Rc::clone(&self.worker);
         worker.context.routing.record_failure(&source.endpoint);
         let begun = Some(source.begun.elapsed());
-        let is_repeated = self.attempts.sent > 1;
+        let is_repeated = self.attempts.has_broken_off;
         crash_check::start(&worker, &self.request, &source.endpoint, begun, is_repeated);
+        self.attempts.has_broken_off = true;
         log::warn!(id = self.request.id(), endpoint = &*source.endpoint.id,
             content:% = format_args!("{:x}", self.request.content),
             parts = self.request.part_names(), last:? = self.events.last(),
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -30,6 +30,8 @@
     pub(crate) body: Bytes,
     /// Hash by which it is known when it comes again.
     pub(crate) content: PartId,
+    /// What it may be blamed for if endpoints crash.
+    pub(crate) suspect: Suspect,
     pub(crate) metadata: Metadata,
     pub(crate) rule: Arc<Rule>,
     pub(crate) service: Arc<str>,
@@ -58,11 +60,6 @@
         names.collect::<Vec<String>>().join(",")
     }
 
-    /// Returns it as a suspect if an endpoint crashes; `None` if it shares no part with others.
-    pub(crate) fn suspect(&self) -> Option<Suspect> {
-        Suspect::new(self.metadata.shared_parts().iter().map(|part| part.id))
-    }
-
     /// Returns its rank: that of its account takes precedence over that of its route.
     pub(crate) fn rank(&self) -> u8 {
         let account = self.account.as_ref().and_then(|account| account.rank);
--- a/crates/policy/src/quarantine/blame.rs
+++ b/crates/policy/src/quarantine/blame.rs
@@ -1,11 +1,13 @@
 //! Which parts are blamed for crashes.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
 use crate::quarantine::Crash;
 use crate::quarantine::PartId;
 use crate::quarantine::Successes;
 use crate::quarantine::Suspect;
+use crate::quarantine::is_content;
 
 /// Moments of crashes after which a part is blamed. Any request may be at one endpoint that crashes
 /// and, sent again, at a second one.
@@ -16,8 +18,12 @@
 const MOMENT: Duration = Duration::from_millis(100);
 
 /// The same for a crash at which a part was only with requests that had been sent again, so that it
-/// came after another crash. It is above the error of times that gateways tell each other.
-const REPEATED_MOMENT: Duration = Duration::from_millis(50);
+/// came after another crash: a request can't reach the next endpoint and crash it any sooner.
+const REPEATED_MOMENT: Duration = Duration::from_millis(20);
+
+/// Endpoints that crash within this time of each other may have a cause in common. It is longer
+/// than a moment by the error of times that gateways tell each other.
+const NEIGHBOUR_TIME: Duration = Duration::from_millis(200);
 
 /// Crashes after which each part that was at all of them is blamed, as no more endpoints may be
 /// lost until it is known which one it is.
@@ -53,9 +59,10 @@
     let mut open: Vec<&Crash> = crashes.iter().collect();
     let mut blocks = Vec::new();
     while let Some(part) = worst_part(&open, successes) {
+        let all = open.clone();
         let (caused, rest): (Vec<&Crash>, Vec<&Crash>) =
             open.into_iter().partition(|crash| is_suspected(part, crash, successes));
-        blocks.push(block(part, &caused, successes));
+        blocks.push(block(part, &caused, &all, successes));
         if caused.len() >= MANY_CRASHES {
             add_others(&mut blocks, &caused, successes);
         }
@@ -70,70 +77,86 @@
     for part in first.suspects().iter().flat_map(Suspect::parts).copied() {
         let is_known = blocks.iter().any(|block| block.parts.contains(&part));
         if !is_known && crashes.iter().all(|crash| is_suspected(part, crash, successes)) {
-            blocks.push(block(part, crashes, successes));
+            blocks.push(block(part, crashes, crashes, successes));
         }
     }
 }
 
 /// Returns the part that was at most crashes, if these are enough to blame it. Among several it
-/// is the one with most requests there.
+/// is the one with the fewest requests there: it explains as much, and fewer sound requests are
+/// likely to have it.
 fn worst_part(crashes: &[&Crash], successes: &Successes) -> Option<PartId> {
-    let mut counts: Vec<Count> = Vec::new();
-    let mut ordered = crashes.to_vec();
-    ordered.sort_by_key(|crash| crash.at);
-    for crash in ordered {
-        let mut parts: Vec<(PartId, bool)> = Vec::new();
-        for suspect in crash.suspects() {
-            parts.extend(suspect.parts().iter().map(|part| (*part, suspect.is_repeated())));
-        }
+    let mut counts: Vec<Count<'_>> = Vec::new();
+    for crash in crashes {
+        let suspects = crash.suspects().iter();
+        let mut parts: Vec<PartId> = suspects.flat_map(Suspect::parts).copied().collect();
         parts.sort_unstable();
-        for same in parts.chunk_by(|left, right| left.0 == right.0) {
-            let (part, is_repeated) = same[0];
+        for same in parts.chunk_by(|left, right| left == right) {
+            let part = same[0];
             if successes.clears(part, crash) {
                 continue;
             }
             let index = counts.binary_search_by_key(&part, |count| count.part);
             let index = index.unwrap_or_else(|index| {
-                counts.insert(index, Count::new(part));
+                counts.insert(index, Count { part, crashes: Vec::new(), requests: 0 });
                 index
             });
-            counts[index].add(crash.at, is_repeated, same.len());
+            counts[index].crashes.push(crash);
+            counts[index].requests += same.len();
         }
     }
-    let enough = counts.into_iter().filter(|count| count.moments.len() >= MIN_MOMENTS);
-    let worst = enough.max_by_key(|count| (count.crashes, count.requests, !count.part));
+    let may_be_enough = counts.into_iter().filter(|count| count.crashes.len() >= MIN_MOMENTS);
+    let enough = may_be_enough
+        .filter(|count| moments(count.part, &count.crashes, crashes).len() >= MIN_MOMENTS);
+    let worst =
+        enough.max_by_key(|count| (count.crashes.len(), Reverse(count.requests), !count.part));
     worst.map(|count| count.part)
 }
 
 /// The crashes at which a part was.
-struct Count {
+struct Count<'a> {
     part: PartId,
-    crashes: usize,
+    crashes: Vec<&'a Crash>,
+    /// Requests with the part at these crashes.
     requests: usize,
-    /// Begin of each moment, in their order.
-    moments: Vec<Duration>,
 }
 
-impl Count {
-    fn new(part: PartId) -> Count {
-        Count { part, crashes: 0, requests: 0, moments: Vec::new() }
+/// Returns when the moments began at which a part was at crashes, in their order. `all` are the
+/// crashes of all parts.
+fn moments(part: PartId, crashes: &[&Crash], all: &[&Crash]) -> Vec<Duration> {
+    let mut ordered = crashes.to_vec();
+    ordered.sort_by_key(|crash| crash.at);
+    let mut moments: Vec<Duration> = Vec::new();
+    for crash in ordered {
+        let distance = min_distance(part, crash, all);
+        if moments.last().is_none_or(|begin| crash.at.saturating_sub(*begin) >= distance) {
+            moments.push(crash.at);
+        }
     }
+    moments
+}
 
-    /// Adds a crash that is no earlier than those before; `is_repeated` if the part was there only
-    /// with requests that had been sent again.
-    fn add(&mut self, at: Duration, is_repeated: bool, requests: usize) {
-        self.crashes += 1;
-        self.requests += requests;
-        add_moment(&mut self.moments, at, is_repeated);
+/// Returns how long after the begin of the moment before it a crash at which a part was is a moment
+/// of its own.
+fn min_distance(part: PartId, crash: &Crash, all: &[&Crash]) -> Duration {
+    let mut with_part = crash.suspects().iter().filter(|suspect| suspect.contains(part));
+    let is_repeated = with_part.all(Suspect::is_repeated);
+    if !(is_repeated || is_content(part)) || !is_alone(part, crash, all) {
+        MOMENT
+    } else if is_repeated {
+        REPEATED_MOMENT
+    } else {
+        // The same request came to several endpoints, all of which crashed.
+        Duration::ZERO
     }
 }
 
-/// Adds the time of a crash that is no earlier than those before to the moments of crashes.
-fn add_moment(moments: &mut Vec<Duration>, at: Duration, is_repeated: bool) {
-    let least = if is_repeated { REPEATED_MOMENT } else { MOMENT };
-    if moments.last().is_none_or(|begin| at.saturating_sub(*begin) > least) {
-        moments.push(at);
-    }
+/// Whether a part was at all crashes around the time of one, so that they have no other cause in
+/// common.
+fn is_alone(part: PartId, crash: &Crash, all: &[&Crash]) -> bool {
+    let neighbours = all.iter().filter(|it| it.at.abs_diff(crash.at) < NEIGHBOUR_TIME);
+    let mut suspects = neighbours.map(|neighbour| neighbour.suspects());
+    suspects.all(|suspects| suspects.iter().any(|suspect| suspect.contains(part)))
 }
 
 /// Whether a part may have caused a crash.
@@ -144,7 +167,7 @@
 
 /// Returns the block of a part together with those that were in all requests with it and that
 /// may have caused the crashes as well: sound requests may have one of them alone.
-fn block(part: PartId, caused: &[&Crash], successes: &Successes) -> Block {
+fn block(part: PartId, caused: &[&Crash], all: &[&Crash], successes: &Successes) -> Block {
     let requests = caused.iter().flat_map(|crash| crash.suspects());
     let requests: Vec<&Suspect> = requests.filter(|suspect| suspect.contains(part)).collect();
     let is_in_all = |other: &PartId| {
@@ -153,15 +176,7 @@
     };
     let candidates = requests.first().map_or(&[][..], |suspect| suspect.parts());
     let parts = candidates.iter().copied().filter(is_in_all).collect();
-    let is_repeated = |crash: &Crash| {
-        let mut with_part = crash.suspects().iter().filter(|suspect| suspect.contains(part));
-        with_part.all(Suspect::is_repeated)
-    };
-    let mut times: Vec<(Duration, bool)> =
-        caused.iter().map(|crash| (crash.at, is_repeated(crash))).collect();
-    times.sort_unstable();
-    let mut moments = Vec::new();
-    times.into_iter().for_each(|(at, is_repeated)| add_moment(&mut moments, at, is_repeated));
+    let moments = moments(part, caused, all);
     // When this one no longer counts, too few are left.
     let last_needed = moments.into_iter().rev().nth(MIN_MOMENTS - 1).unwrap_or_default();
     Block { parts, until: last_needed + CRASH_TTL }
--- a/crates/policy/src/quarantine/register.rs
+++ b/crates/policy/src/quarantine/register.rs
@@ -131,15 +131,21 @@
             let crash = &self.crashes[self.find(*start).ok()?];
             Some((*start, now.saturating_sub(crash.at), crash.suspects().to_vec()))
         });
-        let successes = self.new_successes.iter().rev().filter(|(_, at)| is_news(*at));
-        let successes = successes.filter_map(|(part, _)| {
-            let at = self.successes.last(*part)?;
-            Some((*part, now.saturating_sub(at)))
-        });
-        Digest {
-            crashes: crashes.take(MAX_CRASHES).collect(),
-            successes: successes.take(MAX_SUCCESSES).collect(),
+        let crashes: Vec<_> = crashes.take(MAX_CRASHES).collect();
+        let news = self.new_successes.iter().rev().filter(|(_, at)| is_news(*at));
+        let mut cleared: Vec<PartId> = news.map(|(part, _)| *part).collect();
+        if is_new {
+            // It would blame sound parts as well for crashes of which it knows no successes.
+            let suspects = crashes.iter().flat_map(|(_, _, suspects)| suspects);
+            cleared.extend(suspects.flat_map(Suspect::parts));
+            cleared.sort_unstable();
+            cleared.dedup();
         }
+        let successes = cleared.into_iter().filter_map(|part| {
+            let at = self.successes.last(part)?;
+            Some((part, now.saturating_sub(at)))
+        });
+        Digest { crashes, successes: successes.take(MAX_SUCCESSES).collect() }
     }
 
     /// Learns what another gateway knows.
--- a/crates/policy/src/quarantine/suspect.rs
+++ b/crates/policy/src/quarantine/suspect.rs
@@ -3,12 +3,14 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::quarantine::CONTENT_BIT;
 use crate::quarantine::PartId;
 
 /// Most parts of a request that are kept. Prompts have a few.
 const MAX_PARTS: usize = 16;
 
-/// The parts of a request's prompt that other requests may share.
+/// What other requests may share with a request: its content as a whole, which its repetitions
+/// have, and the parts of its prompt.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Suspect {
     /// Sorted.
@@ -18,8 +20,19 @@
 }
 
 impl Suspect {
-    /// Creates the suspect of a request with these parts; `None` if it has none, so that it can't
-    /// be told from others.
+    /// Creates the suspect of a request with this [content](crate::quarantine::content_id) and these
+    /// parts of a prompt.
+    pub fn of_request(content: PartId, prompt: impl IntoIterator<Item = PartId>) -> Suspect {
+        let mut parts = vec![content | CONTENT_BIT];
+        let prompt = prompt.into_iter().take(MAX_PARTS - 1);
+        parts.extend(prompt.map(|part| part & !CONTENT_BIT));
+        parts.sort_unstable();
+        parts.dedup();
+        Suspect { parts, is_repeated: false }
+    }
+
+    /// Creates a suspect with these parts, as they were stored or received; `None` if there are
+    /// none.
     pub fn new(parts: impl IntoIterator<Item = PartId>) -> Option<Suspect> {
         let mut parts: Vec<PartId> = parts.into_iter().take(MAX_PARTS).collect();
         parts.sort_unstable();
