Decode and log the software versions of endpoints and of taken-up streams

In second1 no line tells at which version a stream began or goes on. Attempts, ends of streams and resumed streams name the version now, and ends name the request that the client says began the stream. No decision changes.

--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -97,15 +97,17 @@
     .increment(1);
     if !matches!(name, "answered" | "begun") {
         log::info!(id = request.id(), endpoint = &*endpoint.id, address:% = endpoint.address,
-            born:? = endpoint.started_ms, left_ms = request.time_left().as_millis() as u64,
+            version = &*endpoint.version, born:? = endpoint.started_ms, left_ms = request.time_left().as_millis() as u64,
             outcome = name; "attempt");
     }
 }
 
 /// End of a stream.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct StreamEnd {
+pub(crate) struct StreamEnd<'a> {
     pub(crate) outcome: &'static str,
+    /// Version of the latest endpoint.
+    pub(crate) version: &'a str,
     /// Framing of the endpoint's latest response.
     pub(crate) framing: Framing,
     /// Id of the last event that was sent to the client.
@@ -115,10 +117,11 @@
 }
 
 /// Records the end of a stream.
-pub(crate) fn stream(request: &Request, attempts: &Attempts, end: &StreamEnd) {
-    let StreamEnd { outcome, framing, last, rest } = *end;
+pub(crate) fn stream(request: &Request, attempts: &Attempts, end: &StreamEnd<'_>) {
+    let StreamEnd { outcome, version, framing, last, rest } = *end;
     log::info!(id = request.id(), service = &*request.service,
         endpoint = attempts.tried.last().map_or("-", |id| &**id), sent = attempts.sent, last:?,
+        version, resumes = request.metadata.resumes.as_deref().unwrap_or("-"),
         framing = framing.name(), rest, outcome, ms = request.start.elapsed().as_millis() as u64;
         "stream");
     counter!("lycheeknot_gateway_streams_total",
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -38,6 +38,8 @@
     headers: HeaderMap,
     /// Framing of the current or last endpoint's response.
     framing: Framing,
+    /// Version of the current or last endpoint.
+    version: Arc<str>,
     /// `None` once the stream has ended.
     source: Option<Source>,
     events: Splitter,
@@ -70,6 +72,7 @@
         mut start: StreamStart,
     ) -> Relay {
         let framing = Framing::of(start.response.headers());
+        let version = Arc::clone(&start.endpoint.version);
         Relay {
             worker: Rc::clone(worker),
             request,
@@ -77,6 +80,7 @@
             status: start.response.status(),
             headers: mem::take(start.response.headers_mut()),
             framing,
+            version,
             source: Some(Source::from(start)),
             events: Splitter::default(),
         }
@@ -174,9 +178,11 @@
             let Some(outcome) = attempt else { return false };
             self.attempts.sent += 1;
             if let Outcome::Stream(start) = outcome {
-                log::info!(id = self.request.id(), endpoint = &*start.endpoint.id, last:?;
+                log::info!(id = self.request.id(), endpoint = &*start.endpoint.id,
+                    from_version = &*self.version, version = &*start.endpoint.version, last:?;
                     "the stream was resumed at another endpoint");
                 self.framing = Framing::of(start.response.headers());
+                self.version = Arc::clone(&start.endpoint.version);
                 self.source = Some(Source::from(*start));
                 return true;
             }
@@ -188,6 +194,7 @@
     fn log(&self, outcome: &'static str) {
         let end = StreamEnd {
             outcome,
+            version: &self.version,
             framing: self.framing,
             last: self.events.last(),
             rest: self.events.rest_len(),
--- a/crates/route/src/endpoint.rs
+++ b/crates/route/src/endpoint.rs
@@ -14,6 +14,9 @@
     pub address: SocketAddr,
     /// Its data centre.
     pub centre: Arc<str>,
+    /// The version of its software; empty if it announces none. Streams of different versions
+    /// don't fit together.
+    pub version: Arc<str>,
     /// Requests that it processes at the same time, if it announces that.
     pub slots: Option<u32>,
     /// Whether it accepts new requests.
--- a/crates/route/src/metadata.rs
+++ b/crates/route/src/metadata.rs
@@ -22,6 +22,8 @@
     pub expected_output_tokens: Option<u32>,
     /// The id of the last event that the client has received of a stream to resume.
     pub last_event: Option<u64>,
+    /// The id of the request that brought the first event of a stream to resume.
+    pub resumes: Option<Arc<str>>,
 }
 
 /// A part of a prompt, which other prompts may share.
