--- a/crates/gateway/tests/sessions/main.rs
+++ b/crates/gateway/tests/sessions/main.rs
@@ -10,3 +10,4 @@
 mod streams;
 mod support;
 mod unframed;
+mod versions;
--- a/crates/gateway/tests/sessions/support/fixture.rs
+++ b/crates/gateway/tests/sessions/support/fixture.rs
@@ -25,6 +25,9 @@
     {"name": "tell", "hostname": "h.example", "prefix": "/tell/", "type": "stream",
      "service": "model", "attempts": 2, "timeout_ms": 8000, "goal_ms": 400, "priority": 0,
      "resumable": true},
+    {"name": "single", "hostname": "h.example", "prefix": "/single/", "type": "stream",
+     "service": "model", "attempts": 1, "timeout_ms": 8000, "goal_ms": 400, "priority": 0,
+     "resumable": true},
     {"name": "once", "hostname": "h.example", "prefix": "/once/", "type": "stream",
      "service": "model", "attempts": 1, "timeout_ms": 8000, "goal_ms": 400, "priority": 1}],
   "services": [{"name": "plain"}, {"name": "model", "engine": {"slots": 64}}],
@@ -51,13 +54,18 @@
     pub fn configure(&self, service: &str, endpoints: &[&Endpoint]) {
         let table = Codec.table(CONFIGURATION.as_bytes()).expect("a configuration");
         assert!(self.routing.set_table(table));
-        let announced = endpoints.iter().map(|endpoint| decode(service, endpoint, "ready"));
+        let announced = endpoints.iter().map(|endpoint| decode(service, endpoint, "ready", "v1"));
         self.routing.set_endpoints(announced.collect(), 0, false);
     }
 
+    /// Announces an endpoint of another software version.
+    pub fn announce(&self, service: &str, endpoint: &Endpoint, version: &str) {
+        self.routing.set_endpoint(decode(service, endpoint, "ready", version));
+    }
+
     /// Announces to the gateway that an endpoint accepts no new requests.
     pub fn set_draining(&self, service: &str, endpoint: &Endpoint) {
-        self.routing.set_endpoint(decode(service, endpoint, "draining"));
+        self.routing.set_endpoint(decode(service, endpoint, "draining", "v1"));
     }
 
     /// Whether the server has stopped.
@@ -100,10 +108,10 @@
     }
 }
 
-/// Decodes the announcement of an endpoint in this state.
-fn decode(service: &str, endpoint: &Endpoint, state: &str) -> route::Endpoint {
+/// Decodes the announcement of an endpoint in this state and of this version.
+fn decode(service: &str, endpoint: &Endpoint, state: &str, version: &str) -> route::Endpoint {
     let value = format!(
-        r#"{{"service": "{service}", "address": "{}", "zone": "a", "version": "v1", "slots": 8,
+        r#"{{"service": "{service}", "address": "{}", "zone": "a", "version": "{version}", "slots": 8,
             "state": "{state}", "cold_left_ms": 0, "seq": 1, "born": 5}}"#,
         endpoint.address
     );
