Let a stream go on only at the software version that began it

Cause: nothing read the version of an endpoint; Relay::resume and take-ups by clients took any endpoint of the service. The class: endpoints of a service are taken for the same although state of one can't be read by another.

Change: policy::origin decides which version began a stream, unknown is never taken for the same. Streams go on where the version is known and serves; else 503 at once, which is true: nothing was sent.

--- a/crates/gateway/src/criteria.rs
+++ b/crates/gateway/src/criteria.rs
@@ -13,6 +13,10 @@
     pub(crate) service: &'a str,
     /// The data centre of this gateway; endpoints there are preferred.
     pub(crate) centre: &'a str,
+    /// The software version that it has to have, if a stream goes on there.
+    pub(crate) version: Option<&'a str>,
+    /// Versions that are preferred, with their services, sorted; empty if all are equal.
+    pub(crate) preferred: &'a [(String, String)],
     /// Ids of endpoints that were already tried for this request.
     pub(crate) tried: &'a [Arc<str>],
     /// The prompt prefix that other requests share.
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -314,6 +314,10 @@
             self.endpoints.iter().filter(|tracked| tracked.is_available(criteria)).collect();
         let mut healthy = self.without_ejected(criteria.service, available, now);
         healthy.retain(|tracked| tracked.limiter.allows());
+        let is_preferred = |tracked: &&Tracked| is_in(criteria.preferred, &tracked.endpoint);
+        if healthy.iter().any(is_preferred) {
+            healthy.retain(|tracked| is_preferred(tracked));
+        }
         let candidates: Vec<choice::Candidate<'_>> = healthy
             .iter()
             .map(|tracked| choice::Candidate {
@@ -384,3 +388,9 @@
         if healthy.is_empty() { available } else { healthy }
     }
 }
+
+/// Whether the version of an endpoint is among these, which are sorted by service and version.
+fn is_in(versions: &[(String, String)], endpoint: &Endpoint) -> bool {
+    let key = (&*endpoint.service, &*endpoint.version);
+    versions.binary_search_by(|(service, version)| (&**service, &**version).cmp(&key)).is_ok()
+}
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -31,6 +31,8 @@
 pub(crate) struct Attempts {
     /// Ids of the endpoints that were tried, in this order; none of them is tried again.
     pub(crate) tried: Vec<Arc<str>>,
+    /// The software version at which the stream began, if a part of it has reached the client.
+    pub(crate) version: Option<Arc<str>>,
     /// Attempts in which the request was sent.
     pub(crate) sent: u32,
     /// Attempts in which no byte of the request was sent.
@@ -57,12 +59,28 @@
     worker.earn_retry(&request.service);
     let mut attempts = Attempts::default();
     let pending = Pending::new(request);
-    let response = forward(worker, request, &mut attempts).await;
+    let response = match find_version(worker, request).await {
+        Ok(version) => {
+            attempts.version = version;
+            forward(worker, request, &mut attempts).await
+        }
+        Err(refusal) => Err(refusal),
+    };
     pending.finish();
     record::request(request, &attempts, &response);
     response
 }
 
+/// Returns the version that began the stream that a request takes up; `None` if it takes up none.
+async fn find_version(worker: &Worker, request: &Request) -> Result<Option<Arc<str>>, Refusal> {
+    if request.metadata.last_event.is_none() || !request.is_resumable() {
+        return Ok(None);
+    }
+    let stream = request.stream_id().ok_or(Refusal::UnknownVersion)?;
+    let version = worker.context.routing.origins().find(&request.service, stream).await;
+    version.map(Some).ok_or(Refusal::UnknownVersion)
+}
+
 /// Sends a request to one endpoint after the other until one responds or no more may be tried.
 async fn forward(
     worker: &Rc<Worker>,
@@ -142,7 +160,10 @@
 
 /// Chooses the endpoint of the next attempt, and counts the request as in flight there.
 fn choose_next(worker: &Worker, request: &Request, attempts: &Attempts) -> Option<Choice> {
-    worker.context.routing.choose(&criteria(worker, request, attempts))
+    let stored = worker.context.routing.origins().stored();
+    let preferred = if request.is_resumable() { &stored[..] } else { &[] };
+    let criteria = Criteria { preferred, ..criteria(worker, request, attempts) };
+    worker.context.routing.choose(&criteria)
 }
 
 /// Returns what is required of the endpoint of the next attempt.
@@ -151,6 +172,8 @@
     Criteria {
         service: &request.service,
         centre: &worker.context.centre,
+        version: attempts.version.as_deref(),
+        preferred: &[],
         tried: &attempts.tried,
         part: request.metadata.shared_part(),
         can_probe: request.rule.kind.is_repeatable() || seed % PROBE_ONE_IN == 0,
@@ -163,7 +186,11 @@
 fn explain(worker: &Worker, request: &Request, attempts: &Attempts, refusal: Refusal) -> Refusal {
     let limited_for = || worker.context.routing.limited_for(&criteria(worker, request, attempts));
     match refusal {
-        Refusal::NotRun => limited_for().map_or(Refusal::NotRun, Refusal::Limited),
+        Refusal::NotRun => match limited_for() {
+            Some(left) => Refusal::Limited(left),
+            None if attempts.version.is_some() && attempts.tried.is_empty() => Refusal::NoVersion,
+            None => Refusal::NotRun,
+        },
         other => other,
     }
 }
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -14,6 +14,7 @@
 mod registration;
 mod restores;
 mod stored;
+mod streams;
 
 pub(crate) use exchange::Exchange;
 pub(crate) use exchange::Own;
--- a/crates/gateway/src/peer/registration.rs
+++ b/crates/gateway/src/peer/registration.rs
@@ -18,6 +18,7 @@
 use crate::peer::Peers;
 use crate::peer::Restores;
 use crate::peer::stored;
+use crate::peer::streams;
 
 /// Prefix of all keys of registrations.
 const PREFIX: &str = "lycheeknot/";
@@ -62,6 +63,8 @@
             registration.keep_renewed(peers),
             registration.follow_peers(peers),
             stored::keep_written(store, peers),
+            streams::keep_written(store, peers),
+            streams::keep_read(store, peers),
         )
     };
     cancel.run_until_cancelled(all).await;
--- /dev/null
+++ b/crates/gateway/src/peer/streams.rs
@@ -0,0 +1,185 @@
+//! Streams in the store, with the versions that began them, so that they are known at each gateway
+//! and outlive the processes of all.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use policy::origin::Segment;
+use rand::RngExt;
+use services::Store;
+use services::store::Commit;
+use services::store::Entry;
+use services::store::Error;
+use services::store::Lease;
+use services::store::Outcome;
+use services::store::Put;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::origins::Reading;
+use crate::peer::Peers;
+use crate::peer::Restores;
+
+/// Prefix of the keys. It is none of the registrations' keys, which each gateway reads regularly.
+const PREFIX: &str = "lycheeknot-streams/";
+
+/// Time to live of what a process stores, in seconds. After its end it is kept for longer than
+/// clients take to come back for a stream.
+const LEASE_TTL_S: u64 = 60;
+
+/// Interval between renewals of the lease. One may fail.
+const RENEWAL_INTERVAL: Duration = Duration::from_secs(20);
+
+/// Interval between checks for versions that are no longer in use.
+const IDLE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Shortest interval between writes. A stream that breaks off sooner after its first event is
+/// unknown to other gateways.
+const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(50);
+
+/// The same for each gateway of the fleet: together they make no more than 200 writes per second,
+/// half of what the smallest store allows.
+const WRITE_INTERVAL_PER_GATEWAY: Duration = Duration::from_millis(5);
+
+/// Pause after a read, in which clients that come back together wait for the same next one.
+const READ_PAUSE: Duration = Duration::from_millis(20);
+
+/// Time limit of a read, within which clients wait for it.
+const READ_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Reads what all gateways have stored each time that a request wants it.
+pub(crate) async fn keep_read(store: &dyn Store, peers: &Peers) {
+    let origins = peers.routing().origins();
+    let mut wanted = origins.wanted.subscribe();
+    while wanted.changed().await.is_ok() {
+        let number = *wanted.borrow_and_update();
+        let segments = match timeout(READ_TIMEOUT, store.list(PREFIX)).await {
+            Ok(Ok(entries)) => Some(Arc::new(entries.iter().filter_map(decode).collect())),
+            Ok(Err(error)) => {
+                log::warn!("the streams of other gateways can't be read: {error}");
+                None
+            }
+            Err(_) => {
+                log::warn!("the streams of other gateways were not read in time");
+                None
+            }
+        };
+        origins.reading.send_replace(Reading { number, segments });
+        sleep(READ_PAUSE).await;
+    }
+}
+
+/// Stores the versions that this gateway may use, and the streams that it begins while there are
+/// several of them.
+pub(crate) async fn keep_written(store: &dyn Store, peers: &Peers) {
+    let prefix = format!("{PREFIX}{}/{:x}/", peers.own().vm, rand::rng().random::<u32>());
+    let mut writer = Writer { store, prefix, lease: None, written: Vec::new() };
+    let mut restores = Restores::new(peers);
+    loop {
+        let routing = peers.routing();
+        let _ = timeout(IDLE_INTERVAL, routing.origins().changed.notified()).await;
+        if restores.has_restored() {
+            // The copy may lack what was written, and its lease may be another gateway's.
+            writer.forget();
+        }
+        routing.origins().announce(&routing.endpoints(), routing.now());
+        let (versions, segments) = routing.origins().to_store(routing.now());
+        if versions.rows.is_empty() {
+            continue;
+        }
+        match writer.write(&versions, &segments).await {
+            Ok(()) => routing.origins().set_stored(&versions),
+            Err(error) => log::info!("the streams of this gateway were not stored: {error}"),
+        }
+        let gateways = routing.gateways().max(1);
+        sleep(MIN_WRITE_INTERVAL.max(WRITE_INTERVAL_PER_GATEWAY * gateways)).await;
+    }
+}
+
+/// Writes the segments of one process.
+struct Writer<'a> {
+    store: &'a dyn Store,
+    prefix: String,
+    /// With the time of its last renewal.
+    lease: Option<(Lease, Instant)>,
+    /// Keys and values as the store has them.
+    written: Vec<(String, Vec<u8>)>,
+}
+
+impl Writer<'_> {
+    /// Forgets what was written, so that all of it is written again under another lease.
+    fn forget(&mut self) {
+        self.lease = None;
+        self.written.clear();
+    }
+
+    /// Writes what has changed, and removes what is over.
+    async fn write(
+        &mut self,
+        versions: &Segment,
+        segments: &[(u64, Segment)],
+    ) -> Result<(), Error> {
+        let lease = self.lease().await?;
+        let mut current = vec![(format!("{}versions", self.prefix), encode(versions)?)];
+        for (place, segment) in segments {
+            current.push((format!("{}{place}", self.prefix), encode(segment)?));
+        }
+        let is_new = |row: &&(String, Vec<u8>)| !self.written.contains(row);
+        let puts = current.iter().filter(is_new).map(|(key, value)| Put {
+            key: key.clone(),
+            value: value.clone(),
+            lease: Some(lease),
+        });
+        let is_over = |key: &&String| current.iter().all(|(other, _)| other != *key);
+        let removes = self.written.iter().map(|(key, _)| key).filter(is_over).cloned();
+        let commit =
+            Commit { puts: puts.collect(), removes: removes.collect(), ..Commit::default() };
+        if commit.puts.is_empty() && commit.removes.is_empty() {
+            return Ok(());
+        }
+        match self.store.commit(&commit).await {
+            Ok(Outcome::Written(_)) => {
+                self.written = current;
+                Ok(())
+            }
+            Ok(Outcome::Conflict) => {
+                self.forget();
+                Err(Error::Protocol("the lease of the streams has ended".to_owned()))
+            }
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Returns the lease, which is granted or renewed if that is due.
+    async fn lease(&mut self) -> Result<Lease, Error> {
+        if let Some((lease, renewed)) = self.lease {
+            if renewed.elapsed() < RENEWAL_INTERVAL {
+                return Ok(lease);
+            }
+            if self.store.renew(lease).await? {
+                self.lease = Some((lease, Instant::now()));
+                return Ok(lease);
+            }
+            self.forget();
+        }
+        let lease = self.store.grant(LEASE_TTL_S).await?;
+        self.lease = Some((lease, Instant::now()));
+        Ok(lease)
+    }
+}
+
+fn encode(segment: &Segment) -> Result<Vec<u8>, Error> {
+    serde_json::to_vec(segment)
+        .map_err(|error| Error::Protocol(format!("a segment of streams can't be encoded: {error}")))
+}
+
+/// Decodes a stored segment; `None` if the entry is none or is malformed.
+fn decode(entry: &Entry) -> Option<Segment> {
+    entry.key.strip_prefix(PREFIX)?;
+    let decoded = serde_json::from_slice(&entry.value);
+    let log = |error: &serde_json::Error| {
+        log::warn!(key = entry.key.as_str(); "a segment of streams is malformed: {error}");
+    };
+    decoded.inspect_err(log).ok()
+}
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -30,6 +30,10 @@
     Limited(Duration),
     /// it or a part of its prompt has crashed endpoints; it did not run, send another one
     Quarantined(Duration),
+    /// it is not known which software version began the stream; it did not run, begin anew
+    UnknownVersion,
+    /// no endpoint of the version that began the stream takes work; it did not run, begin anew
+    NoVersion,
     /// an endpoint broke off; it may have run
     Unknown,
     /// no answer came in time; it may have run
@@ -40,6 +44,10 @@
 /// a second, so some will have ended by then.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
+/// The same where a stream can't go on. The store or an endpoint that crashed may be back after
+/// about a second.
+const VERSION_RETRY_DELAY: Duration = Duration::from_millis(1_000);
+
 impl Refusal {
     /// Returns its label in logs and metrics.
     pub(crate) fn name(self) -> &'static str {
@@ -53,6 +61,8 @@
             Refusal::NotRun => "not_run",
             Refusal::Limited(_) => "limited",
             Refusal::Quarantined(_) => "quarantined",
+            Refusal::UnknownVersion => "unknown_version",
+            Refusal::NoVersion => "no_version",
             Refusal::Unknown => "unknown",
             Refusal::Late => "late",
         }
@@ -65,7 +75,9 @@
             | Refusal::Closing
             | Refusal::NotRun
             | Refusal::Limited(_)
-            | Refusal::Quarantined(_) => StatusCode::SERVICE_UNAVAILABLE,
+            | Refusal::Quarantined(_)
+            | Refusal::UnknownVersion
+            | Refusal::NoVersion => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::NoRoute => StatusCode::NOT_FOUND,
             Refusal::NoAccount => StatusCode::UNAUTHORIZED,
             Refusal::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
@@ -79,6 +91,7 @@
     fn retry_delay(self) -> Duration {
         match self {
             Refusal::Limited(left) | Refusal::Quarantined(left) => left,
+            Refusal::UnknownVersion | Refusal::NoVersion => VERSION_RETRY_DELAY,
             _ => RETRY_DELAY,
         }
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -43,6 +43,8 @@
     /// `None` once the stream has ended.
     source: Option<Source>,
     events: Splitter,
+    /// Whether events were sent to the client.
+    has_begun: bool,
 }
 
 /// The endpoint that the events currently come from.
@@ -83,6 +85,7 @@
             version,
             source: Some(Source::from(start)),
             events: Splitter::default(),
+            has_begun: false,
         }
     }
 
@@ -108,7 +111,10 @@
             let cause = match self.read().await? {
                 Read::Data(data) => match self.events.push(&data) {
                     Ok(events) if events.is_empty() => continue,
-                    Ok(events) => return Some(Ok(events)),
+                    Ok(events) => {
+                        self.record_begin();
+                        return Some(Ok(events));
+                    }
                     Err(error) => error.to_string(),
                 },
                 Read::End => match self.events.finish() {
@@ -132,6 +138,20 @@
         }
     }
 
+    /// Records the version that began the stream before its first events are sent, so that it goes
+    /// on nowhere else.
+    fn record_begin(&mut self) {
+        let Some(source) = self.source.as_ref().filter(|_| !self.has_begun) else { return };
+        self.has_begun = true;
+        self.attempts.version = Some(Arc::clone(&source.endpoint.version));
+        if self.request.is_resumable()
+            && let Some(stream) = self.request.stream_id()
+        {
+            let routing = &self.worker.context.routing;
+            routing.origins().record(&source.endpoint, stream, routing.now());
+        }
+    }
+
     /// Ends a whole stream.
     fn end(&mut self) {
         if let Some(source) = self.source.take() {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -8,6 +8,8 @@
 use http::Method;
 use http::header::CONTENT_LENGTH;
 use http_body_util::Full;
+use policy::origin;
+use policy::origin::StreamId;
 use policy::quarantine::PartId;
 use policy::quarantine::Suspect;
 use route::Account;
@@ -16,6 +18,7 @@
 use route::Rule;
 use route::Version;
 use route::dialect::Forwarding;
+use route::rule::Kind;
 use tokio::time::Instant;
 
 use crate::criteria::Choice;
@@ -60,6 +63,19 @@
         names.collect::<Vec<String>>().join(",")
     }
 
+    /// Whether its response is a stream that may go on at another endpoint.
+    pub(crate) fn is_resumable(&self) -> bool {
+        matches!(self.rule.kind, Kind::Stream { is_resumable: true })
+    }
+
+    /// Returns the id of its stream, also if that began with another request of the client; `None`
+    /// if the requests have no ids.
+    pub(crate) fn stream_id(&self) -> Option<StreamId> {
+        let Metadata { id, resumes, last_event, .. } = &self.metadata;
+        let first = if last_event.is_some() { resumes } else { id };
+        first.as_deref().map(origin::stream_id)
+    }
+
     /// Returns its rank: that of its account takes precedence over that of its route.
     pub(crate) fn rank(&self) -> u8 {
         let account = self.account.as_ref().and_then(|account| account.rank);
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -25,6 +25,7 @@
 use crate::criteria::Choice;
 use crate::criteria::Criteria;
 use crate::endpoints::Endpoints;
+use crate::origins::Origins;
 use crate::quarantine::Quarantine;
 
 /// Gateways among which limits of endpoints are divided while their number isn't known: as many as
@@ -39,6 +40,7 @@
     table: RwLock<Arc<Table>>,
     endpoints: Mutex<Endpoints>,
     quarantine: Quarantine,
+    origins: Origins,
     /// Number of registered gateways, including this one; 0 while it is not known.
     gateways: AtomicU32,
 }
@@ -50,6 +52,7 @@
             table: RwLock::default(),
             endpoints: Mutex::new(Endpoints::new(rand::rng().random())),
             quarantine: Quarantine::default(),
+            origins: Origins::default(),
             gateways: AtomicU32::default(),
         }
     }
@@ -108,6 +111,7 @@
         let endpoints = known.without_outdated(endpoints, restores, self.now());
         endpoints.iter().for_each(|endpoint| self.record_ended(&known, endpoint));
         known.set_all(endpoints, restores, after_outage, self.now());
+        self.origins.changed.notify_one();
     }
 
     /// Returns all known endpoints, sorted by id.
@@ -120,6 +124,12 @@
         let mut endpoints = self.endpoints.lock();
         self.record_ended(&endpoints, &endpoint);
         endpoints.put(endpoint);
+        self.origins.changed.notify_one();
+    }
+
+    /// Returns which versions began streams.
+    pub(crate) fn origins(&self) -> &Origins {
+        &self.origins
     }
 
     /// Records that the endpoints that were known at the address of an announced one have ended.
--- a/crates/gateway/src/tracked.rs
+++ b/crates/gateway/src/tracked.rs
@@ -42,6 +42,7 @@
         let endpoint = &self.endpoint;
         *endpoint.service == *criteria.service
             && endpoint.state == State::Ready
+            && criteria.version.is_none_or(|version| *endpoint.version == *version)
             && !self.is_replaced
             && !criteria.tried.contains(&endpoint.id)
     }
--- a/crates/gateway/tests/sessions/main.rs
+++ b/crates/gateway/tests/sessions/main.rs
@@ -7,6 +7,7 @@
 mod loads;
 mod requests;
 mod stops;
+mod store;
 mod streams;
 mod support;
 mod unframed;
--- /dev/null
+++ b/crates/gateway/tests/sessions/store.rs
@@ -0,0 +1,58 @@
+//! A store that keeps its keys until they are removed.
+
+use std::sync::Arc;
+
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+use parking_lot::Mutex;
+use services::Store;
+use services::store::Commit;
+use services::store::Entry;
+use services::store::Error;
+use services::store::Lease;
+use services::store::Outcome;
+
+/// The keys, shared by all clones.
+#[derive(Clone, Default)]
+pub struct Fake {
+    entries: Arc<Mutex<Vec<Entry>>>,
+}
+
+impl Store for Fake {
+    fn read<'a>(&'a self, key: &'a str) -> LocalBoxFuture<'a, Result<Option<Entry>, Error>> {
+        let entry = self.entries.lock().iter().find(|entry| entry.key == key).cloned();
+        async move { Ok(entry) }.boxed_local()
+    }
+
+    fn list<'a>(&'a self, prefix: &'a str) -> LocalBoxFuture<'a, Result<Vec<Entry>, Error>> {
+        let entries = self.entries.lock();
+        let listed = entries.iter().filter(|entry| entry.key.starts_with(prefix));
+        let listed = listed.cloned().collect();
+        async move { Ok(listed) }.boxed_local()
+    }
+
+    fn commit<'a>(&'a self, write: &'a Commit) -> LocalBoxFuture<'a, Result<Outcome, Error>> {
+        let mut entries = self.entries.lock();
+        let exists = |key: &str| entries.iter().any(|entry| entry.key == key);
+        if write.conditions.iter().any(|condition| exists(&condition.key)) {
+            return async { Ok(Outcome::Conflict) }.boxed_local();
+        }
+        let is_put = |key: &str| write.puts.iter().any(|put| put.key == key);
+        entries.retain(|entry| !write.removes.contains(&entry.key) && !is_put(&entry.key));
+        let puts = write.puts.iter().cloned();
+        entries.extend(puts.map(|put| Entry { key: put.key, value: put.value, version: 1 }));
+        async { Ok(Outcome::Written(1)) }.boxed_local()
+    }
+
+    fn watch<'a>(&'a self, _: &'a str, _: u64) -> LocalBoxFuture<'a, Result<Option<Entry>, Error>> {
+        std::future::pending().boxed_local()
+    }
+
+    fn grant(&self, _: u64) -> LocalBoxFuture<'_, Result<Lease, Error>> {
+        async { Ok(1) }.boxed_local()
+    }
+
+    fn renew(&self, _: Lease) -> LocalBoxFuture<'_, Result<bool, Error>> {
+        async { Ok(true) }.boxed_local()
+    }
+}
--- a/crates/gateway/tests/sessions/versions.rs
+++ b/crates/gateway/tests/sessions/versions.rs
@@ -3,6 +3,13 @@
 use std::thread;
 use std::time::Duration;
 
+use gateway::register;
+use tokio::runtime::Builder;
+use tokio_util::sync::CancellationToken;
+
+use crate::loads::member;
+use crate::loads::peers;
+use crate::store::Fake;
 use crate::support::client::Client;
 use crate::support::endpoint::Endpoint;
 use crate::support::endpoint::Step;
@@ -65,6 +72,88 @@
     assert!(new.iter().all(|endpoint| endpoint.seen().is_empty()));
 }
 
+#[test]
+fn the_version_of_a_stream_is_known_after_all_gateways_were_killed() {
+    let broken = vec![stream_start(), event(1), Step::Pause(30), Step::Close];
+    let scripts = vec![broken, rest()];
+    let old = [0, 1].map(|number| Endpoint::start(&format!("e{number}"), scripts.clone()));
+    let new = [5, 6].map(|number| Endpoint::start(&format!("e{number}"), scripts.clone()));
+    let store = Fake::default();
+    let first = Gateway::start(&store, &old, &new);
+    let begun = Client::connect(first.fixture.address).exchange(&once("r1"));
+    assert!(begun.ends_with("(closed)\n"), "{begun}");
+    let used = |endpoints: &[Endpoint]| endpoints.iter().any(|it| !it.seen().is_empty());
+    let is_old = used(&old);
+    let (same, others) = if is_old { (&old, &new) } else { (&new, &old) };
+    assert!(!used(others));
+    thread::sleep(Duration::from_millis(200));
+    first.kill();
+
+    let second = Gateway::start(&store, &old, &new);
+    for number in 2..8 {
+        let request = take_up(&format!("r{number}"), "r1");
+        let response = Client::connect(second.fixture.address).exchange(&request);
+        assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
+        let unknown = take_up(&format!("s{number}"), "r999");
+        let response = Client::connect(second.fixture.address).exchange(&unknown);
+        assert!(response.contains("which software version"), "{response}");
+    }
+    assert!(!used(others));
+    second.kill();
+
+    // The endpoints of the version that began it are gone.
+    let seen = same.each_ref().map(|endpoint| endpoint.seen().len());
+    let third = match is_old {
+        true => Gateway::start(&store, &[], &new),
+        false => Gateway::start(&store, &old, &[]),
+    };
+    let response = Client::connect(third.fixture.address).exchange(&take_up("r8", "r1"));
+    assert!(response.contains("no endpoint of the version"), "{response}");
+    assert!(!used(others));
+    assert_eq!(same.each_ref().map(|endpoint| endpoint.seen().len()), seen);
+    third.kill();
+}
+
+#[test]
+fn streams_before_a_single_version_are_taken_up_after_all_gateways_were_killed() {
+    let old = [0, 1].map(|number| Endpoint::start(&format!("e{number}"), vec![rest()]));
+    let store = Fake::default();
+    let first = Gateway::start(&store, &old, &[]);
+    first.kill();
+    let second = Gateway::start(&store, &old, &[]);
+    let response = Client::connect(second.fixture.address).exchange(&take_up("r2", "r1"));
+    assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
+    second.kill();
+}
+
+/// A gateway with a store.
+struct Gateway {
+    fixture: Fixture,
+    cancel: CancellationToken,
+}
+
+impl Gateway {
+    /// Starts a gateway before endpoints of two versions, and waits until it has stored these.
+    fn start(store: &Fake, old: &[Endpoint], new: &[Endpoint]) -> Gateway {
+        let fixture = Fixture::new("model", &old.iter().collect::<Vec<_>>());
+        new.iter().for_each(|endpoint| fixture.announce("model", endpoint, "v2"));
+        let (cancel, store) = (CancellationToken::new(), store.clone());
+        let (peers, token) = (peers(&fixture.routing, &[member("g1", 10)], 0), cancel.clone());
+        thread::spawn(move || {
+            let mut builder = Builder::new_current_thread();
+            let runtime = builder.enable_all().build().expect("a runtime");
+            runtime.block_on(register(&store, &peers, token));
+        });
+        thread::sleep(Duration::from_millis(300));
+        Gateway { fixture, cancel }
+    }
+
+    /// Ends it; what it has stored stays, as its lease has not ended.
+    fn kill(self) {
+        self.cancel.cancel();
+    }
+}
+
 /// A stream that goes on after the first event.
 fn rest() -> Vec<Step> {
     vec![stream_start(), event(2), stream_end()]
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod mean;
 pub mod occupancy;
 pub mod orders;
+pub mod origin;
 pub mod outlier;
 pub mod placement;
 pub mod popularity;
--- /dev/null
+++ b/crates/policy/src/origin/ledger.rs
@@ -0,0 +1,109 @@
+//! The versions and streams that one gateway knows.
+
+use std::time::Duration;
+
+use crate::origin::Segment;
+use crate::origin::StreamId;
+
+/// How long a version counts as in use after it was last announced: longer than a client takes to
+/// come back for a stream.
+const VERSION_TTL: Duration = Duration::from_secs(60);
+
+/// Time of the streams of one segment. Each new stream has its segment written anew.
+const SEGMENT_TIME: Duration = Duration::from_secs(4);
+
+/// Segments that are kept: together they cover the longest time from the first event of a stream
+/// until a client has come back for it.
+const SEGMENTS: u64 = 8;
+
+/// Most streams of a segment; later ones stay unknown to other gateways.
+const MAX_STREAMS: usize = 8_192;
+
+/// The versions that were announced lately, and the streams that this gateway has begun.
+#[derive(Debug, Clone, Default)]
+pub struct Ledger {
+    /// Sorted by service and version, with the time of the last announcement.
+    versions: Vec<(String, String, Duration)>,
+    /// With their numbers, the oldest one first.
+    segments: Vec<(u64, Segment)>,
+}
+
+impl Ledger {
+    /// Records that a version of a service is announced.
+    pub fn announce(&mut self, service: &str, version: &str, now: Duration) {
+        let find = |row: &(String, String, Duration)| {
+            (row.0.as_str(), row.1.as_str()).cmp(&(service, version))
+        };
+        match self.versions.binary_search_by(find) {
+            Ok(index) => self.versions[index].2 = now,
+            Err(index) => {
+                self.versions.insert(index, (service.to_owned(), version.to_owned(), now));
+            }
+        }
+    }
+
+    /// Records the version that began a stream.
+    pub fn record(&mut self, service: &str, version: &str, stream: StreamId, now: Duration) {
+        self.forget(now);
+        self.announce(service, version, now);
+        let number = number(now);
+        if self.segments.last().is_none_or(|(last, _)| *last != number) {
+            self.segments.push((number, Segment::default()));
+        }
+        let Some((_, segment)) = self.segments.last_mut() else { return };
+        let streams: usize = segment.rows.iter().map(|row| row.streams.len()).sum();
+        if streams < MAX_STREAMS {
+            segment.add(service, version, stream);
+        }
+    }
+
+    /// Returns the version that began a stream here; `None` if it did not begin here lately.
+    pub fn find(&self, service: &str, stream: StreamId) -> Option<&str> {
+        let rows = self.segments.iter().rev().flat_map(|(_, segment)| &segment.rows);
+        let mut rows = rows.filter(|row| row.service == service);
+        rows.find(|row| row.streams.contains(&stream)).map(|row| row.version.as_str())
+    }
+
+    /// Returns the versions that may have begun streams lately.
+    pub fn versions(&self, now: Duration) -> Segment {
+        let mut segment = Segment::default();
+        for (service, version, _) in self.versions.iter().filter(|row| !is_over(row.2, now)) {
+            segment.row(service, version);
+        }
+        segment
+    }
+
+    /// Returns the streams of services with several versions, in segments with their places in a
+    /// ring. The others need not be stored: all their streams have the same version.
+    pub fn mixed_segments(&self, now: Duration) -> Vec<(u64, Segment)> {
+        let versions = self.versions(now);
+        let of_service = |service: &str| {
+            let rows = versions.rows.iter();
+            rows.filter(|row| row.service == service).count()
+        };
+        let oldest = number(now).saturating_sub(SEGMENTS - 1);
+        let segments = self.segments.iter().filter(|(number, _)| *number >= oldest);
+        let mixed = segments.map(|(number, segment)| {
+            let rows = segment.rows.iter().filter(|row| of_service(&row.service) > 1);
+            (number % SEGMENTS, Segment { rows: rows.cloned().collect() })
+        });
+        mixed.filter(|(_, segment)| !segment.rows.is_empty()).collect()
+    }
+
+    /// Forgets what is over.
+    fn forget(&mut self, now: Duration) {
+        let oldest = number(now).saturating_sub(SEGMENTS - 1);
+        self.segments.retain(|(number, _)| *number >= oldest);
+        self.versions.retain(|(_, _, at)| !is_over(*at, now));
+    }
+}
+
+/// Whether a version that was last announced at this time is no longer in use.
+fn is_over(at: Duration, now: Duration) -> bool {
+    now.saturating_sub(at) > VERSION_TTL
+}
+
+/// Returns the number of the segment of a time.
+fn number(now: Duration) -> u64 {
+    now.as_secs() / SEGMENT_TIME.as_secs()
+}
--- /dev/null
+++ b/crates/policy/src/origin/segment.rs
@@ -0,0 +1,43 @@
+//! A part of what a gateway stores of streams.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::origin::StreamId;
+
+/// Versions of services, with streams that they began within a span of time.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Segment {
+    /// A row for each version of a service.
+    pub rows: Vec<Row>,
+}
+
+/// A version of a service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row {
+    /// The name of the service.
+    pub service: String,
+    /// The version of the software of its endpoints.
+    pub version: String,
+    /// Streams that began there, in their order; empty if only the version is told.
+    pub streams: Vec<StreamId>,
+}
+
+impl Segment {
+    /// Adds a stream that began at a version of a service.
+    pub(crate) fn add(&mut self, service: &str, version: &str, stream: StreamId) {
+        self.row(service, version).streams.push(stream);
+    }
+
+    /// Returns the row of a version, which is added if it is new.
+    pub(crate) fn row(&mut self, service: &str, version: &str) -> &mut Row {
+        let key = (service, version);
+        let find = |row: &Row| (row.service.as_str(), row.version.as_str()).cmp(&key);
+        let index = self.rows.binary_search_by(find).unwrap_or_else(|index| {
+            let (service, version) = (service.to_owned(), version.to_owned());
+            self.rows.insert(index, Row { service, version, streams: Vec::new() });
+            index
+        });
+        &mut self.rows[index]
+    }
+}
