Take a refusal without an id for an earlier request's on a kept connection

Cause: a refusal without an id was believed for whatever request was under way. Now that holds only on a connection that has carried no earlier request; else the outcome is unknown. Refusals with another id were told apart already.

Evidence: both tests failed before (503 where the request was running; r2 ran twice) and pass; refusals without an id on a new connection are believed still.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -126,7 +126,7 @@
     let begun = Instant::now();
     let status = response.status();
     let reply = dialect.reply(status.as_u16(), response.headers());
-    if !matches_request(request, &reply) {
+    if !matches_request(request, &reply, connection.is_reused()) {
         log::warn!(id = request.id(), endpoint = &*endpoint.id, answer:? = reply.request_id;
             "an answer to another request");
         routing.record_failure(endpoint);
@@ -215,11 +215,12 @@
 /// Checks that a response belongs to the request.
 ///
 /// A response without a request id is only accepted as a refusal, since endpoints echo the
-/// ids of requests that they run.
-fn matches_request(request: &Request, reply: &Reply) -> bool {
+/// ids of requests that they run, and only on a new connection: on one that was reused it may
+/// belong to an earlier request.
+fn matches_request(request: &Request, reply: &Reply, is_reused: bool) -> bool {
     match (&request.metadata.id, &reply.request_id) {
         (Some(id), Some(echoed)) => id == echoed,
-        (Some(_), None) => reply.is_not_run,
+        (Some(_), None) => reply.is_not_run && !is_reused,
         (None, _) => true,
     }
 }
--- a/crates/gateway/tests/sessions/main.rs
+++ b/crates/gateway/tests/sessions/main.rs
@@ -8,6 +8,7 @@
 mod requests;
 mod stops;
 mod store;
+mod strays;
 mod streams;
 mod support;
 mod unframed;
--- a/crates/gateway/tests/sessions/support/fixture.rs
+++ b/crates/gateway/tests/sessions/support/fixture.rs
@@ -22,6 +22,8 @@
      "service": "plain", "attempts": 2, "timeout_ms": 800, "goal_ms": 300, "priority": 2},
     {"name": "book", "hostname": "h.example", "prefix": "/book/", "type": "mutating",
      "service": "plain", "attempts": 1, "timeout_ms": 800, "goal_ms": 300, "priority": 2},
+    {"name": "twice", "hostname": "h.example", "prefix": "/twice/", "type": "mutating",
+     "service": "plain", "attempts": 2, "timeout_ms": 800, "goal_ms": 300, "priority": 2},
     {"name": "tell", "hostname": "h.example", "prefix": "/tell/", "type": "stream",
      "service": "model", "attempts": 2, "timeout_ms": 8000, "goal_ms": 400, "priority": 0,
      "resumable": true},
