Let only responses of the first one's content type go on with a stream

Cause: a response without a content type counts as events, also where a stream goes on that had one. Now it has to be of the first response's type, else the endpoint is taken as failed and the next one is asked.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use http::HeaderMap;
 use http::StatusCode;
+use http::header::CONTENT_TYPE;
 use http_body_util::BodyExt;
 use link::Body;
 use link::Connection;
@@ -198,6 +199,12 @@
             let Some(outcome) = attempt else { return false };
             self.attempts.sent += 1;
             if let Outcome::Stream(start) = outcome {
+                if !self.fits(&start) {
+                    worker.context.routing.record_failure(&start.endpoint);
+                    log::warn!(id = self.request.id(), endpoint = &*start.endpoint.id;
+                        "a response of another content type can't go on with the stream");
+                    continue;
+                }
                 log::info!(id = self.request.id(), endpoint = &*start.endpoint.id,
                     from_version = &*self.version, version = &*start.endpoint.version, last:?;
                     "the stream was resumed at another endpoint");
@@ -210,6 +217,12 @@
         false
     }
 
+    /// Whether a response is of the content type of the first one. The text of an error may be sent
+    /// with a success status and no type.
+    fn fits(&self, start: &StreamStart) -> bool {
+        start.response.headers().get(CONTENT_TYPE) == self.headers.get(CONTENT_TYPE)
+    }
+
     /// Records the end of the stream.
     fn log(&self, outcome: &'static str) {
         let end = StreamEnd {
