Store the version of a stream before its first event is sent

Cause: a stream was stored up to 50 ms after its first event, so those that had just begun were unknown, and the later the take-ups, the more of them were such ones. Now the first event waits for the write, 60 ms at most and only while its service has several versions; before it nothing has begun for the client. The interval of writes follows what the store allows (platform.writes_per_s).

Evidence: the test with all gateways killed does so right after the first event; it passes (it waited 200 ms before).

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -62,7 +62,8 @@
         format: Member::FORMAT,
     };
     let seeds = settings.seeds.clone();
-    let peers = Arc::new(Peers::new(Arc::clone(&routing), member, process::incarnation(), seeds));
+    let peers = Peers::new(Arc::clone(&routing), member, process::incarnation(), seeds);
+    let peers = Arc::new(peers.with_writes_per_s(settings.writes_per_s));
     ntex::rt::spawn(answer_peers(settings.control, Arc::clone(&peers), stop_background.clone()));
     ntex::rt::spawn(sync_store(settings.clone(), peers, stop_background.clone()));
     ntex::rt::spawn(update_readiness(readiness, Arc::clone(&routing), stop.clone()));
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -1,6 +1,8 @@
 //! Which versions began the streams that clients take up, as this gateway knows it.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use parking_lot::Mutex;
@@ -16,6 +18,10 @@
 /// How long a client that takes up a stream waits for the store.
 const READ_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Longest time for which the first events of a stream are held back until the store has its
+/// version. It is short against the time to a first token.
+const HOLD_TIMEOUT: Duration = Duration::from_millis(60);
+
 /// The streams that began here, and what was read of the other gateways' ones.
 ///
 /// Requests are handled on other threads than calls of the store, so they ask for a read by
@@ -25,6 +31,10 @@
     ledger: Mutex<Ledger>,
     /// Versions that the store has acknowledged, sorted by service and version.
     stored: Mutex<Arc<Vec<(String, String)>>>,
+    /// Number of the last stream that was recorded.
+    recorded: AtomicU64,
+    /// Number of the last stream for which a write was tried.
+    tried: watch::Sender<u64>,
     /// Signals that there is something to store.
     pub(crate) changed: Notify,
     /// Number of the last read that was asked for.
@@ -47,6 +57,8 @@
         Origins {
             ledger: Mutex::default(),
             stored: Mutex::default(),
+            recorded: AtomicU64::default(),
+            tried: watch::Sender::default(),
             changed: Notify::new(),
             wanted: watch::Sender::default(),
             reading: watch::Sender::default(),
@@ -63,10 +75,36 @@
         }
     }
 
-    /// Records the endpoint that sent the first event of a stream.
-    pub(crate) fn record(&self, endpoint: &Endpoint, stream: StreamId, now: Duration) {
-        self.ledger.lock().record(&endpoint.service, &endpoint.version, stream, now);
+    /// Records the endpoint that sent the first event of a stream, and waits until that is stored
+    /// if the service has several versions.
+    ///
+    /// A stream that breaks off sooner has not begun for its client, which can begin it anew at any
+    /// version. No stream waits for a store that fails.
+    pub(crate) async fn record(&self, endpoint: &Endpoint, stream: StreamId, now: Duration) {
+        let is_mixed = {
+            let mut ledger = self.ledger.lock();
+            ledger.record(&endpoint.service, &endpoint.version, stream, now);
+            ledger.is_mixed(&endpoint.service, now)
+        };
+        if !is_mixed {
+            return;
+        }
+        let number = self.recorded.fetch_add(1, Ordering::SeqCst) + 1;
         self.changed.notify_one();
+        let mut tried = self.tried.subscribe();
+        if timeout(HOLD_TIMEOUT, tried.wait_for(|tried| *tried >= number)).await.is_err() {
+            log::debug!(endpoint = &*endpoint.id; "a stream is sent before its version is stored");
+        }
+    }
+
+    /// Returns the number of the last stream that was recorded.
+    pub(crate) fn recorded(&self) -> u64 {
+        self.recorded.load(Ordering::SeqCst)
+    }
+
+    /// Releases the streams up to a number, for which a write was tried.
+    pub(crate) fn set_tried(&self, number: u64) {
+        self.tried.send_replace(number);
     }
 
     /// Returns the version that began a stream of a service; `None` if that can't be found out.
--- a/crates/gateway/src/peer/peers.rs
+++ b/crates/gateway/src/peer/peers.rs
@@ -58,8 +58,13 @@
     /// Number of restores of the store that this gateway knows of; `None` before its first read.
     restores: watch::Sender<Option<u64>>,
     routing: Arc<Routing>,
+    /// Writes per second that the store allows to all gateways together.
+    writes_per_s: f64,
 }
 
+/// Writes per second that a store allows if nothing else is known: as many as the smallest one.
+const DEFAULT_WRITES_PER_S: f64 = 400.0;
+
 impl Peers {
     /// Creates a value that knows only the configured addresses.
     ///
@@ -82,9 +87,20 @@
             restores: watch::Sender::default(),
             own,
             routing,
+            writes_per_s: DEFAULT_WRITES_PER_S,
         }
     }
 
+    /// Sets the writes per second that the store allows to all gateways together.
+    pub fn with_writes_per_s(self, writes_per_s: f64) -> Peers {
+        Peers { writes_per_s, ..self }
+    }
+
+    /// Returns the writes per second that the store allows to all gateways together.
+    pub(crate) fn writes_per_s(&self) -> f64 {
+        self.writes_per_s
+    }
+
     /// Sets the addresses and the properties of the other gateways that are registered in the
     /// store. Those of builds that register no properties have only an address.
     pub fn set_registered(&self, registered: Vec<SocketAddr>, mut members: Vec<Member>) {
--- a/crates/gateway/src/peer/streams.rs
+++ b/crates/gateway/src/peer/streams.rs
@@ -34,13 +34,11 @@
 /// Interval between checks for versions that are no longer in use.
 const IDLE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Shortest interval between writes. A stream that breaks off sooner after its first event is
-/// unknown to other gateways.
-const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(50);
+/// Shortest interval between writes, for which the first events of streams are held back.
+const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(25);
 
-/// The same for each gateway of the fleet: together they make no more than 200 writes per second,
-/// half of what the smallest store allows.
-const WRITE_INTERVAL_PER_GATEWAY: Duration = Duration::from_millis(5);
+/// Share of the writes that the store allows which all gateways may use together.
+const WRITE_SHARE: f64 = 0.5;
 
 /// Pause after a read, in which clients that come back together wait for the same next one.
 const READ_PAUSE: Duration = Duration::from_millis(20);
@@ -84,6 +82,7 @@
             writer.forget();
         }
         routing.origins().announce(&routing.endpoints(), routing.now());
+        let number = routing.origins().recorded();
         let (versions, segments) = routing.origins().to_store(routing.now());
         if versions.rows.is_empty() {
             continue;
@@ -92,11 +91,18 @@
             Ok(()) => routing.origins().set_stored(&versions),
             Err(error) => log::info!("the streams of this gateway were not stored: {error}"),
         }
-        let gateways = routing.gateways().max(1);
-        sleep(MIN_WRITE_INTERVAL.max(WRITE_INTERVAL_PER_GATEWAY * gateways)).await;
+        routing.origins().set_tried(number);
+        sleep(write_interval(peers)).await;
     }
 }
 
+/// Returns the interval between writes with which all gateways keep within what the store allows.
+fn write_interval(peers: &Peers) -> Duration {
+    let gateways = f64::from(peers.routing().gateways().max(1));
+    let seconds = gateways / (peers.writes_per_s() * WRITE_SHARE);
+    MIN_WRITE_INTERVAL.max(Duration::try_from_secs_f64(seconds).unwrap_or(IDLE_INTERVAL))
+}
+
 /// Writes the segments of one process.
 struct Writer<'a> {
     store: &'a dyn Store,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -113,7 +113,7 @@
                 Read::Data(data) => match self.events.push(&data) {
                     Ok(events) if events.is_empty() => continue,
                     Ok(events) => {
-                        self.record_begin();
+                        self.record_begin().await;
                         return Some(Ok(events));
                     }
                     Err(error) => error.to_string(),
@@ -141,7 +141,7 @@
 
     /// Records the version that began the stream before its first events are sent, so that it goes
     /// on nowhere else.
-    fn record_begin(&mut self) {
+    async fn record_begin(&mut self) {
         let Some(source) = self.source.as_ref().filter(|_| !self.has_begun) else { return };
         self.has_begun = true;
         self.attempts.version = Some(Arc::clone(&source.endpoint.version));
@@ -149,7 +149,7 @@
             && let Some(stream) = self.request.stream_id()
         {
             let routing = &self.worker.context.routing;
-            routing.origins().record(&source.endpoint, stream, routing.now());
+            routing.origins().record(&source.endpoint, stream, routing.now()).await;
         }
     }
 
--- a/crates/gateway/tests/sessions/versions.rs
+++ b/crates/gateway/tests/sessions/versions.rs
@@ -86,7 +86,7 @@
     let is_old = used(&old);
     let (same, others) = if is_old { (&old, &new) } else { (&new, &old) };
     assert!(!used(others));
-    thread::sleep(Duration::from_millis(200));
+    // Its first event has reached the client, so the store has its version by now.
     first.kill();
 
     let second = Gateway::start(&store, &old, &new);
--- a/crates/policy/src/origin/ledger.rs
+++ b/crates/policy/src/origin/ledger.rs
@@ -73,18 +73,19 @@
         segment
     }
 
+    /// Whether a service has had several versions lately, so that its streams are stored.
+    pub fn is_mixed(&self, service: &str, now: Duration) -> bool {
+        let rows = self.versions.iter().filter(|row| row.0 == service && !is_over(row.2, now));
+        rows.count() > 1
+    }
+
     /// Returns the streams of services with several versions, in segments with their places in a
     /// ring. The others need not be stored: all their streams have the same version.
     pub fn mixed_segments(&self, now: Duration) -> Vec<(u64, Segment)> {
-        let versions = self.versions(now);
-        let of_service = |service: &str| {
-            let rows = versions.rows.iter();
-            rows.filter(|row| row.service == service).count()
-        };
         let oldest = number(now).saturating_sub(SEGMENTS - 1);
         let segments = self.segments.iter().filter(|(number, _)| *number >= oldest);
         let mixed = segments.map(|(number, segment)| {
-            let rows = segment.rows.iter().filter(|row| of_service(&row.service) > 1);
+            let rows = segment.rows.iter().filter(|row| self.is_mixed(&row.service, now));
             (number % SEGMENTS, Segment { rows: rows.cloned().collect() })
         });
         mixed.filter(|(_, segment)| !segment.rows.is_empty()).collect()
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -25,6 +25,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Address of the key-value service, which holds the persistent data.
     pub store: SocketAddr,
+    /// Writes per second that the service allows to all processes together.
+    pub writes_per_s: f64,
     /// Processor share of the VM, in thousandths of a core.
     pub capacity: u32,
     /// Most client connections that are open at the same time.
@@ -45,6 +47,9 @@
 /// File descriptors per client connection: each may need another to an endpoint.
 const DESCRIPTORS_PER_CLIENT: u64 = 2;
 
+/// Writes per second of the smallest service that is known.
+const DEFAULT_WRITES_PER_S: f64 = 400.0;
+
 impl Gateway {
     /// Reads all sections, and returns `None` if a key is missing or has a fault.
     pub(crate) fn read(root: &Section<'_>, faults: &mut Vec<Fault>) -> Option<Gateway> {
@@ -68,6 +73,7 @@
         let platform = root.child("platform", faults);
         platform.check_keys(&[key::GATEWAY_PLATFORM], faults);
         let store = platform.socket("store", faults);
+        let writes = platform.decimal_or("writes_per_s", DEFAULT_WRITES_PER_S, 1.0, 1e6, faults);
         let limit = root.child("limit", faults);
         limit.check_keys(&[key::GATEWAY_LIMIT], faults);
         let descriptors = limit.required_number("descriptors", 256, 1 << 20, faults);
@@ -87,6 +93,7 @@
             control: control?,
             seeds,
             store: store?,
+            writes_per_s: writes?,
             // The range that was checked fits.
             capacity: (cores? * 1_000.0) as u32,
             connections: usize::try_from(descriptors? / DESCRIPTORS_PER_CLIENT).ok()?,
--- a/crates/settings/src/key.rs
+++ b/crates/settings/src/key.rs
@@ -44,7 +44,7 @@
 pub const GATEWAY_PEER: &[&str] = &["seeds"];
 
 /// Keys of a gateway's `[platform]`.
-pub const GATEWAY_PLATFORM: &[&str] = &["store"];
+pub const GATEWAY_PLATFORM: &[&str] = &["store", "writes_per_s"];
 
 /// Keys of a gateway's `[limit]`.
 pub const GATEWAY_LIMIT: &[&str] = &["cores", "descriptors", "stop_notice_ms", "stop_grace_ms"];
--- a/crates/settings/tests/gateway.rs
+++ b/crates/settings/tests/gateway.rs
@@ -41,26 +41,27 @@
     check(
         VALID,
         expect![[r#"
-        Gateway {
-            vm: "g-1",
-            centre: "s1",
-            clients: 10.0.1.7:7001,
-            admin: 10.0.1.7:7003,
-            control: 10.0.1.7:7002,
-            seeds: [
-                10.0.1.7:7002,
-                10.0.3.7:7002,
-            ],
-            store: 10.0.0.5:2379,
-            capacity: 190,
-            connections: 2050,
-            retry_ratio: 0.2,
-            retry_slack: 58.0,
-            processes: 8,
-            stop_notice: 2.6s,
-            stop_grace: 5s,
-        }
-    "#]],
+            Gateway {
+                vm: "g-1",
+                centre: "s1",
+                clients: 10.0.1.7:7001,
+                admin: 10.0.1.7:7003,
+                control: 10.0.1.7:7002,
+                seeds: [
+                    10.0.1.7:7002,
+                    10.0.3.7:7002,
+                ],
+                store: 10.0.0.5:2379,
+                writes_per_s: 400.0,
+                capacity: 190,
+                connections: 2050,
+                retry_ratio: 0.2,
+                retry_slack: 58.0,
+                processes: 8,
+                stop_notice: 2.6s,
+                stop_grace: 5s,
+            }
+        "#]],
     );
 }
 
