Don't begin a stream anew whose events have no ids

Without the id of the last event it can't be told where to go on, so the stream is cut. The test failed before and passes.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -192,6 +192,10 @@
             "a stream broke off: {cause}");
         drop(source);
         self.events.drop_rest();
+        if self.has_begun && self.events.last().is_none() {
+            // Without ids it can't be told where to go on.
+            return false;
+        }
         let last = self.events.last().or(self.request.metadata.last_event);
         while forward::allow_repeat(&worker, &self.request, &self.attempts) {
             let attempt =
--- a/crates/gateway/tests/sessions/strays.rs
+++ b/crates/gateway/tests/sessions/strays.rs
@@ -1,7 +1,5 @@
 //! Tests of responses of faulty endpoints that belong to an earlier request, or to no stream.
 
-use std::time::Duration;
-
 use crate::support::client::Client;
 use crate::support::endpoint::Endpoint;
 use crate::support::endpoint::Step;
@@ -10,6 +8,7 @@
 use crate::support::script::event;
 use crate::support::script::full_response;
 use crate::support::script::send;
+use crate::support::script::stream_end;
 use crate::support::script::stream_start;
 
 #[test]
@@ -91,6 +90,19 @@
     }
 }
 
+#[test]
+fn a_stream_whose_events_have_no_ids_is_not_begun_anew_within_its_response() {
+    let text = "data: e1\n\n";
+    let nameless = send(&format!("{:x}\r\n{text}\r\n", text.len()));
+    let begin = vec![stream_start(), nameless.clone(), Step::Pause(30), Step::Close];
+    let whole = vec![stream_start(), nameless, stream_end()];
+    let [one, other] = Endpoint::start_pair(["e1", "e2"], vec![begin, whole]);
+    let fixture = Fixture::new("model", &[&one, &other]);
+    let response = Client::connect(fixture.address).exchange(&request("tell", "r1"));
+    assert!(response.ends_with("data: e1\n\n\n(closed)\n"), "{response}");
+    assert_eq!(one.seen().len() + other.seen().len(), 1);
+}
+
 /// A request that may run once at most.
 fn book(id: &str) -> String {
     request("book", id)
