Remember successes that clear parts of known crashes

By reading: a success that showed a part to be sound was forgotten after some 4,096 others, and the part was suspected again of crashes up to ten minutes old; three of them refused a sound request. Since contents are parts, that many others pass in less than a minute. Successes of parts of known crashes are kept now. The new test failed before and passes.

--- a/crates/policy/src/quarantine/register.rs
+++ b/crates/policy/src/quarantine/register.rs
@@ -210,6 +210,8 @@
             let Some((_, oldest)) = times.min() else { break };
             self.crashes.remove(oldest);
         }
+        let suspects = self.crashes.iter().flat_map(Crash::suspects);
+        self.successes.set_needed(suspects.flat_map(Suspect::parts).copied().collect());
         self.blocks = blame(&self.crashes, &self.successes);
         self.suspected = suspected_parts(&self.crashes, &self.successes);
     }
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -151,6 +151,21 @@
     }
 }
 
+#[test]
+fn a_success_that_clears_a_part_is_remembered_however_many_others_succeed() {
+    let mut register = Register::default();
+    for start in 0..3 {
+        crash(&mut register, start, &[&[7], &[HARMFUL, 20 + start]], at(200 * start));
+    }
+    register.record_success(&request(&[7]), at(700));
+    for other in 0..20_000 {
+        register.record_success(&request(&[1_000 + other]), at(800 + other));
+    }
+    crash(&mut register, 3, &[&[50]], at(30_000));
+    assert!(!is_blocked(&register, &[7], at(30_100)));
+    assert!(is_blocked(&register, &[HARMFUL, 60], at(30_100)));
+}
+
 #[test]
 fn endpoints_that_crash_together_blame_nothing() {
     let mut register = Register::default();
