Keep as many suspects of a crash as an endpoint has requests

By reading: of a crash 64 suspects were kept, and each request is a suspect of its own since contents are parts, so the harmful one could be among those left out where an endpoint runs 64 requests and queues 192. Now 256 are kept, and 1,024 fit into a message, which keeps calls within their limit. The test of digests over their limits asks for the new ones, and for the sum too. The new test (201 suspects) failed before and passes.

--- a/crates/policy/src/quarantine/crash.rs
+++ b/crates/policy/src/quarantine/crash.rs
@@ -5,9 +5,9 @@
 use crate::quarantine::StartId;
 use crate::quarantine::Suspect;
 
-/// Most suspects of a crash that are kept: as many requests as endpoints usually process at the
-/// same time.
-const MAX_SUSPECTS: usize = 64;
+/// Most suspects of a crash that are kept: as many requests as endpoints usually process or queue at
+/// the same time. Each request is a suspect of its own.
+pub(crate) const MAX_SUSPECTS: usize = 256;
 
 /// The crash of an endpoint, with the requests that may have caused it.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/policy/src/quarantine/digest.rs
+++ b/crates/policy/src/quarantine/digest.rs
@@ -8,6 +8,7 @@
 use crate::quarantine::PartId;
 use crate::quarantine::StartId;
 use crate::quarantine::Suspect;
+use crate::quarantine::crash::MAX_SUSPECTS;
 
 /// Most crashes in one message.
 pub(crate) const MAX_CRASHES: usize = 16;
@@ -15,8 +16,8 @@
 /// Most successes in one message.
 pub(crate) const MAX_SUCCESSES: usize = 256;
 
-/// Most suspects of a crash in one message.
-const MAX_SUSPECTS: usize = 64;
+/// Most suspects of all crashes in one message, so that it stays within the limit of a call.
+pub(crate) const MAX_ALL_SUSPECTS: usize = 1_024;
 
 /// Crashes and successes that a gateway knows. Times are told as ages, since gateways share no
 /// clock.
@@ -39,7 +40,9 @@
         let is_valid = |(_, _, suspects): &(StartId, Duration, Vec<Suspect>)| {
             suspects.len() <= MAX_SUSPECTS && suspects.iter().all(Suspect::is_valid)
         };
+        let suspects = self.crashes.iter().map(|(_, _, suspects)| suspects.len());
         self.crashes.len() <= MAX_CRASHES
+            && suspects.sum::<usize>() <= MAX_ALL_SUSPECTS
             && self.successes.len() <= MAX_SUCCESSES
             && self.crashes.iter().all(is_valid)
     }
--- a/crates/policy/src/quarantine/register.rs
+++ b/crates/policy/src/quarantine/register.rs
@@ -12,6 +12,7 @@
 use crate::quarantine::blame::CRASH_TTL;
 use crate::quarantine::blame::blame;
 use crate::quarantine::broken::Broken;
+use crate::quarantine::digest::MAX_ALL_SUSPECTS;
 use crate::quarantine::digest::MAX_CRASHES;
 use crate::quarantine::digest::MAX_SUCCESSES;
 
@@ -131,7 +132,12 @@
             let crash = &self.crashes[self.find(*start).ok()?];
             Some((*start, now.saturating_sub(crash.at), crash.suspects().to_vec()))
         });
-        let crashes: Vec<_> = crashes.take(MAX_CRASHES).collect();
+        let mut suspects = 0;
+        let fits = |(_, _, of_crash): &(StartId, Duration, Vec<Suspect>)| {
+            suspects += of_crash.len();
+            suspects <= MAX_ALL_SUSPECTS
+        };
+        let crashes: Vec<_> = crashes.take(MAX_CRASHES).take_while(fits).collect();
         let news = self.new_successes.iter().rev().filter(|(_, at)| is_news(*at));
         let mut cleared: Vec<PartId> = news.map(|(part, _)| *part).collect();
         if is_new {
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -166,6 +166,29 @@
     assert!(is_blocked(&register, &[HARMFUL, 60], at(30_100)));
 }
 
+#[test]
+fn a_request_is_blamed_among_as_many_as_an_endpoint_takes() {
+    let mut registers = vec![Register::default(); 2];
+    for start in 0..3 {
+        let now = at(200 * start);
+        for other in 300..500 {
+            let sound = Suspect::of_request(other, [1_000 * (start + 1) + other]);
+            registers[0].record_broken(start, sound, None, now);
+        }
+        registers[0].record_broken(start, Suspect::of_request(HARMFUL, []), None, now);
+        registers[0].confirm(start, now);
+        for other in 300..500 {
+            let sound = Suspect::of_request(other, []);
+            registers[0].record_success(&sound, now + at(50));
+        }
+        exchange_all(&mut registers, now + at(100));
+    }
+    for register in &registers {
+        let harmful = Suspect::of_request(HARMFUL, []);
+        assert!(register.blocked_for(&harmful, at(700)).is_some());
+    }
+}
+
 #[test]
 fn endpoints_that_crash_together_blame_nothing() {
     let mut register = Register::default();
@@ -246,18 +269,19 @@
 
 #[test]
 fn a_digest_out_of_order_or_over_its_limits_changes_nothing() {
-    let suspects = vec![request(&[HARMFUL]); 65];
-    let too_long = Digest {
-        crashes: (0..5).map(|start| (start, at(0), suspects.clone())).collect(),
-        successes: Vec::new(),
-    };
+    // Too many suspects of each crash, and of all together.
+    let too_long = [(3, 257), (5, 250)].map(|(crashes, suspects)| {
+        let suspects = vec![request(&[HARMFUL]); suspects];
+        let crashes = (0..crashes).map(|start| (start, at(0), suspects.clone())).collect();
+        Digest { crashes, successes: Vec::new() }
+    });
     let unsorted: Suspect =
         serde_json::from_str(r#"{"parts":[9,3],"is_repeated":false}"#).expect("a suspect");
     let out_of_order = Digest {
         crashes: (0..5).map(|start| (start, at(0), vec![unsorted.clone()])).collect(),
         successes: Vec::new(),
     };
-    for digest in [too_long, out_of_order] {
+    for digest in too_long.into_iter().chain([out_of_order]) {
         let mut register = Register::default();
         register.learn(&digest, at(100));
         assert_eq!(register.blocks(), &[]);
