Don't keep new streams to stored versions while the store fails

By reading: a gateway that could not write to the store sent all new streams to endpoints of versions that it had stored before, even if few of these were left of a rollout. It keeps them there only until a write was tried now: some ms in which a new version must not begin a stream that nobody would know of.

--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -29,8 +29,8 @@
 #[derive(Debug)]
 pub(crate) struct Origins {
     ledger: Mutex<Ledger>,
-    /// Versions that the store has acknowledged, sorted by service and version.
-    stored: Mutex<Arc<Vec<(String, String)>>>,
+    /// Versions for which a write was tried, sorted by service and version.
+    tried_versions: Mutex<Arc<Vec<(String, String)>>>,
     /// Number of the last stream that was recorded.
     recorded: AtomicU64,
     /// Number of the last stream for which a write was tried.
@@ -56,7 +56,7 @@
     fn default() -> Origins {
         Origins {
             ledger: Mutex::default(),
-            stored: Mutex::default(),
+            tried_versions: Mutex::default(),
             recorded: AtomicU64::default(),
             tried: watch::Sender::default(),
             changed: Notify::new(),
@@ -79,7 +79,7 @@
     /// if the service has several versions.
     ///
     /// A stream that breaks off sooner has not begun for its client, which can begin it anew at any
-    /// version. No stream waits for a store that fails.
+    /// version. It waits no longer if the write fails, or doesn't end soon.
     pub(crate) async fn record(&self, endpoint: &Endpoint, stream: StreamId, now: Duration) {
         let is_mixed = {
             let mut ledger = self.ledger.lock();
@@ -129,15 +129,16 @@
         (ledger.versions(now), ledger.mixed_segments(now))
     }
 
-    /// Sets the versions that the store has acknowledged.
-    pub(crate) fn set_stored(&self, versions: &Segment) {
+    /// Sets the versions for which a write was tried.
+    pub(crate) fn set_tried_versions(&self, versions: &Segment) {
         let rows = versions.rows.iter();
         let rows = rows.map(|row| (row.service.clone(), row.version.clone()));
-        *self.stored.lock() = Arc::new(rows.collect());
+        *self.tried_versions.lock() = Arc::new(rows.collect());
     }
 
-    /// Returns the versions that the store has acknowledged, sorted by service and version.
-    pub(crate) fn stored(&self) -> Arc<Vec<(String, String)>> {
-        Arc::clone(&self.stored.lock())
+    /// Returns the versions for which a write was tried, sorted by service and version. New streams
+    /// begin there.
+    pub(crate) fn tried_versions(&self) -> Arc<Vec<(String, String)>> {
+        Arc::clone(&self.tried_versions.lock())
     }
 }
