--- a/crates/gateway/tests/sessions/crashes.rs
+++ b/crates/gateway/tests/sessions/crashes.rs
@@ -158,9 +158,9 @@
         let address = listener.local_addr().expect("an address");
         endpoints[0].at(&format!("a{number}"), address)
     };
-    for number in 0..8 {
+    for endpoint in &endpoints {
         let mut known: Vec<Endpoint> = (0..7).map(absent).collect();
-        known.push(endpoints[number].clone());
+        known.push(endpoint.clone());
         let fixture = Fixture::new("plain", &known.iter().collect::<Vec<_>>());
         let response = plain_request(&fixture, "book", "good");
         assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
