Echo the request's id in refusals of the soak's endpoints

The stand-in answered 421 and 503 without the id that endpoints echo in all answers by the users' pages, on kept connections, and such a refusal is no longer believed there. The stand-in keeps to the pages now; no check or bound changed.

--- a/crates/fleet/tests/soak/endpoint.rs
+++ b/crates/fleet/tests/soak/endpoint.rs
@@ -92,12 +92,15 @@
         };
         let id = header(head, "x-request-id").unwrap_or_default();
         if header(head, "x-expect-instance").is_some_and(|expected| expected != name) {
-            let text = "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n";
+            let text = format!(
+                "HTTP/1.1 421 Misdirected Request\r\nX-Request-Id: {id}\r\nContent-Length: 0\r\n\r\n"
+            );
             return stream.write_all(text.as_bytes()).await.ok();
         }
         if behaviour == Behaviour::Refuse {
-            let text =
-                "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+            let text = format!(
+                "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: {id}\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+            );
             return stream.write_all(text.as_bytes()).await.ok();
         }
         let now = Instant::now();
