Reword comments that a newcomer stumbled over

Comments of notices, origins, criteria and framing in the field's terms, two lines that were too long, and a match with an empty arm. Nothing that the program does has changed.

--- a/crates/backend/tests/plain.rs
+++ b/crates/backend/tests/plain.rs
@@ -16,7 +16,7 @@
 use wire::Work;
 use wire::work::Call;
 
-/// How a test server closes its connection after a response.
+/// Way in which a test server closes its connection after a response.
 #[derive(Clone, Copy)]
 enum Ending {
     Close,
--- a/crates/gateway/src/criteria.rs
+++ b/crates/gateway/src/criteria.rs
@@ -14,7 +14,7 @@
     pub(crate) service: &'a str,
     /// The data centre of this gateway; endpoints there are preferred.
     pub(crate) centre: &'a str,
-    /// The software version that it has to have, if a stream goes on there.
+    /// The required software version; `None` unless the request resumes a stream.
     pub(crate) version: Option<&'a str>,
     /// Versions that are preferred, with their services, sorted; empty if all are equal.
     pub(crate) preferred: &'a [(String, String)],
--- a/crates/gateway/src/framing.rs
+++ b/crates/gateway/src/framing.rs
@@ -4,7 +4,7 @@
 use http::header::CONTENT_LENGTH;
 use http::header::TRANSFER_ENCODING;
 
-/// How the end of a response body is found (RFC 9112, section 6.3).
+/// Framing of a response body (RFC 9112, section 6.3).
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Framing {
     /// The body is sent in chunks, the last of which is empty.
--- a/crates/gateway/src/notice.rs
+++ b/crates/gateway/src/notice.rs
@@ -1,20 +1,21 @@
-//! What an endpoint said of itself in its responses.
+//! State that an endpoint reports in its responses.
 
 use std::time::Duration;
 
 use route::Reply;
 
-/// What one start of an endpoint said of itself. It holds for this gateway whatever the store says.
+/// State that an endpoint has reported since its start. It takes precedence over the announcement
+/// in the store, which may be older.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Notice {
-    /// Whether it leaves. There is no way back but another start.
+    /// Whether the endpoint is shutting down. Only a restart resets this.
     is_leaving: bool,
-    /// Until when it wants no requests from this gateway.
+    /// The endpoint accepts no requests of this gateway before this time.
     paused_until: Duration,
 }
 
 impl Notice {
-    /// Records what a response says. Returns whether that is new.
+    /// Records the state that a response reports. Returns whether it has changed.
     pub(crate) fn record(&mut self, reply: &Reply, now: Duration) -> bool {
         let before = *self;
         self.is_leaving |= reply.is_leaving;
@@ -24,12 +25,12 @@
         self.is_leaving != before.is_leaving || self.paused_until != before.paused_until
     }
 
-    /// Whether it has said that it leaves.
+    /// Whether the endpoint is shutting down.
     pub(crate) fn is_leaving(&self) -> bool {
         self.is_leaving
     }
 
-    /// Returns for how long it wants no requests from this gateway; zero if it takes some.
+    /// Returns the time until the endpoint accepts requests of this gateway; zero if it does now.
     pub(crate) fn pause(&self, now: Duration) -> Duration {
         self.paused_until.saturating_sub(now)
     }
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -15,14 +15,14 @@
 use tokio::sync::watch;
 use tokio::time::timeout;
 
-/// How long a client that takes up a stream waits for the store.
+/// Timeout for the read of the store that a request to resume a stream waits for.
 const READ_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Longest time for which the first events of a stream are held back until the store has its
 /// version. It is short against the time to a first token.
 const HOLD_TIMEOUT: Duration = Duration::from_millis(60);
 
-/// The streams that began here, and what was read of the other gateways' ones.
+/// The streams that began here, and those of other gateways as last read from the store.
 ///
 /// Requests are handled on other threads than calls of the store, so they ask for a read by
 /// raising `wanted`, and wait until a reading covers it.
@@ -39,11 +39,11 @@
     pub(crate) changed: Notify,
     /// Number of the last read that was asked for.
     pub(crate) wanted: watch::Sender<u64>,
-    /// The last reading.
+    /// Result of the last read.
     pub(crate) reading: watch::Sender<Reading>,
 }
 
-/// What was read from the store.
+/// Result of a read of the store.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Reading {
     /// The last read that it answers.
--- a/crates/gateway/src/peer/streams.rs
+++ b/crates/gateway/src/peer/streams.rs
@@ -87,9 +87,8 @@
         if versions.rows.is_empty() {
             continue;
         }
-        match writer.write(&versions, &segments).await {
-            Ok(()) => {}
-            Err(error) => log::info!("the streams of this gateway were not stored: {error}"),
+        if let Err(error) = writer.write(&versions, &segments).await {
+            log::info!("the streams of this gateway were not stored: {error}");
         }
         // New streams don't keep to the versions that are stored while the store fails: those may
         // have the fewest endpoints.
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -99,7 +99,8 @@
     .increment(1);
     if !matches!(name, "answered" | "begun") {
         log::info!(id = request.id(), endpoint = &*endpoint.id, address:% = endpoint.address,
-            version = &*endpoint.version, born:? = endpoint.started_ms, left_ms = request.time_left().as_millis() as u64,
+            version = &*endpoint.version, born:? = endpoint.started_ms,
+            left_ms = request.time_left().as_millis() as u64,
             outcome = name; "attempt");
     }
 }
--- a/crates/gateway/src/tracked.rs
+++ b/crates/gateway/src/tracked.rs
@@ -23,7 +23,7 @@
     pub(crate) is_replaced: bool,
     /// Its limit of the requests of all gateways, if it names one.
     pub(crate) limiter: Limiter,
-    /// What it said of itself.
+    /// State that it has reported in its responses.
     pub(crate) notice: Notice,
 }
 
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -4,8 +4,9 @@
 //! prompt or as a whole. The requests that were at an endpoint when it crashed are suspects, sound
 //! ones among them. A part is blamed once it was at several crashes and no request with it has
 //! succeeded since; requests with it are refused then. The whole of a request counts as a part
-//! that only its repetitions share, so one decision covers requests with and without a prompt. Gateways tell each other what they saw, as each of
-//! them sees only some of the crashes. See `docs/decisions/quarantine.md`.
+//! that only its repetitions share, so one decision covers requests with and without a prompt.
+//! Gateways tell each other what they saw, as each of them sees only some of the crashes. See
+//! `docs/decisions/quarantine.md`.
 
 mod blame;
 mod broken;
