--- a/crates/entry/src/candidates.rs
+++ b/crates/entry/src/candidates.rs
@@ -34,8 +34,8 @@
         let pair = |member: &Member| (Candidate::of(member, centre, region), Agent::of(member));
         let document = board.document();
         let (mut engines, agents): (Vec<Candidate>, Vec<Agent>) = board.with_roster(|roster| {
-            let keepers = roster.keepers(needs, |vm| document.holds(vm));
-            keepers.into_iter().map(pair).unzip()
+            let eligible_holders = roster.eligible_holders(needs, |vm| document.holds(vm));
+            eligible_holders.into_iter().map(pair).unzip()
         });
         let loads = worker.tables.loads.lock();
         for candidate in &mut engines {
--- a/crates/policy/src/roster.rs
+++ b/crates/policy/src/roster.rs
@@ -80,7 +80,7 @@
     /// `assigned` gives what the configuration assigns to a VM. Once all engines that
     /// `needs` is assigned to hold it, holders that are assigned only others are left
     /// out, since they are about to unload it.
-    pub fn keepers<'a>(
+    pub fn eligible_holders<'a>(
         &'a self,
         needs: &'a str,
         assigned: impl Fn(&str) -> &'a [id::Model],
--- a/crates/policy/tests/roster.rs
+++ b/crates/policy/tests/roster.rs
@@ -40,7 +40,7 @@
         let entry = assigned.iter().find(|(known, _)| *known == vm);
         entry.map_or(&[][..], |(_, models)| models.as_slice())
     };
-    let holders = roster.keepers("a", assigned);
+    let holders = roster.eligible_holders("a", assigned);
     holders.iter().map(|member| member.vm.as_str()).collect::<Vec<_>>().join(" ")
 }
 
