--- a/crates/gateway/tests/sessions/main.rs
+++ b/crates/gateway/tests/sessions/main.rs
@@ -8,6 +8,7 @@
 mod notices;
 mod requests;
 mod stops;
+#[path = "../support/store.rs"]
 mod store;
 mod strays;
 mod streams;
--- a/crates/gateway/tests/sessions/store.rs
+++ b/crates/gateway/tests/support/store.rs
@@ -15,7 +15,7 @@
 /// The keys, shared by all clones.
 #[derive(Clone, Default)]
 pub struct Fake {
-    entries: Arc<Mutex<Vec<Entry>>>,
+    pub entries: Arc<Mutex<Vec<Entry>>>,
 }
 
 impl Store for Fake {
