Read the streams of other gateways in less time, and wait longer for them

Change: a stream's id has 32 bits, segments are in postcard, and a read may take 1.5 s. A client waits for it; what it would get before is a refusal.

--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -16,7 +16,7 @@
 use tokio::time::timeout;
 
 /// Timeout for the read of the store that a request to resume a stream waits for.
-const READ_TIMEOUT: Duration = Duration::from_millis(600);
+const READ_TIMEOUT: Duration = Duration::from_millis(2_000);
 
 /// Longest time for which the first events of a stream are held back until the store has its
 /// version. It is short against the time to a first token.
--- a/crates/gateway/src/peer/streams.rs
+++ b/crates/gateway/src/peer/streams.rs
@@ -43,8 +43,9 @@
 /// Pause after a read, in which clients that come back together wait for the same next one.
 const READ_PAUSE: Duration = Duration::from_millis(20);
 
-/// Time limit of a read, within which clients wait for it.
-const READ_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time limit of a read, within which clients wait for it. Many gateways that start together read at
+/// the same time.
+const READ_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Reads what all gateways have stored each time that a request wants it.
 pub(crate) async fn keep_read(store: &dyn Store, peers: &Peers) {
@@ -178,15 +179,15 @@
 }
 
 fn encode(segment: &Segment) -> Result<Vec<u8>, Error> {
-    serde_json::to_vec(segment)
+    postcard::to_stdvec(segment)
         .map_err(|error| Error::Protocol(format!("a segment of streams can't be encoded: {error}")))
 }
 
 /// Decodes a stored segment; `None` if the entry is none or is malformed.
 fn decode(entry: &Entry) -> Option<Segment> {
     entry.key.strip_prefix(PREFIX)?;
-    let decoded = serde_json::from_slice(&entry.value);
-    let log = |error: &serde_json::Error| {
+    let decoded = postcard::from_bytes(&entry.value);
+    let log = |error: &postcard::Error| {
         log::warn!(key = entry.key.as_str(); "a segment of streams is malformed: {error}");
     };
     decoded.inspect_err(log).ok()
--- a/crates/gateway/tests/sessions/versions.rs
+++ b/crates/gateway/tests/sessions/versions.rs
@@ -126,6 +126,19 @@
     second.kill();
 }
 
+#[test]
+fn streams_are_taken_up_while_many_gateways_keep_the_store_busy() {
+    let old = [0, 1].map(|number| Endpoint::start(&format!("e{number}"), vec![rest()]));
+    let store = Fake { list_time: Duration::from_millis(900), ..Fake::default() };
+    let gateway = Gateway::start(&store, &old, &[]);
+    for number in 2..4 {
+        let request = take_up(&format!("r{number}"), "r1");
+        let response = Client::connect(gateway.fixture.address).exchange(&request);
+        assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
+    }
+    gateway.kill();
+}
+
 /// A gateway with a store.
 struct Gateway {
     fixture: Fixture,
--- a/crates/policy/src/origin.rs
+++ b/crates/policy/src/origin.rs
@@ -13,12 +13,14 @@
 pub use segment::Segment;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Hash of the id of the request that brought the first event of a stream.
-pub type StreamId = u64;
+/// Hash of the id of the request that brought the first event of a stream. Its 32 bits keep what is
+/// read when a client comes back small, and tell some ten thousand streams apart.
+pub type StreamId = u32;
 
 /// Returns the id of the stream whose first event a request brought.
 pub fn stream_id(request: &str) -> StreamId {
-    xxh3_64(request.as_bytes())
+    // The lower half of the hash.
+    xxh3_64(request.as_bytes()) as StreamId
 }
 
 /// Returns the version that began a stream of a service, by all that gateways have stored; `None`
