Show that streams of a gateway that lost power are not taken up

A gateway stores which version began a stream only once it knows of several versions of the service. If it loses power just before the first engine of a new version starts, the version of its streams counts as unknown, and each client that takes one up is refused until its deadline.

--- a/review/tests/lab/mod.rs
+++ b/review/tests/lab/mod.rs
@@ -10,6 +10,7 @@
 pub mod json;
 pub mod record;
 pub mod store;
+pub mod streams;
 
 use std::net::SocketAddr;
 use std::net::TcpListener;
