Show that streams go on at another version after the store's restore

After the store has come back from a copy, a gateway that is asked to take up a stream trusts the rows in the copy, which name only the version of before, although it knows engines of two.

--- a/review/tests/copy.rs
+++ b/review/tests/copy.rs
@@ -1,4 +1,4 @@
-//! The store comes back from a copy while a gateway is killed: streams must go on at the software
+//! The store comes back from a copy after a gateway has lost power: streams must go on at the software
 //! version that began them.
 
 mod lab;
@@ -15,17 +15,20 @@
 use lab::streams::Ask;
 use lab::streams::Outcome;
 
-/// Streams at the gateway that is killed.
-const STREAMS: u32 = 40;
+/// Streams at the gateway that loses power.
+const STREAMS: u32 = 90;
 
 /// Most streams that may hold events of two versions.
 const MAX_MIXED: usize = 2;
 
-/// Refused clients come back with a jitter of up to this time.
-const MAX_JITTER: Duration = Duration::from_millis(600);
+/// Time over which clients ask for their streams.
+const SPREAD: Duration = Duration::from_millis(720);
 
 /// For this time the store is away.
-const AWAY_TIME: Duration = Duration::from_millis(1_000);
+const AWAY_TIME: Duration = Duration::from_millis(2_230);
+
+/// For this time the gateway is dark, before its process is started again.
+const DARK_TIME: Duration = Duration::from_millis(3_500);
 
 fn main() {
     std::process::exit(run(&Record::create()));
@@ -39,9 +42,9 @@
         Engine::start([id, "pool", version, "zone-a"], &store, record, stream)
     };
     let _old = [start("i-1", "v1"), start("i-2", "v1")];
-    let mut killed = Gateway::start("edge-1", "zone-a", store.address);
+    let mut lost = Gateway::start("edge-1", "zone-a", store.address);
     let calm = Gateway::start("edge-2", "zone-b", store.address);
-    if !killed.wait_until_ready() || !calm.wait_until_ready() {
+    if !lost.wait_until_ready() || !calm.wait_until_ready() {
         return record.give_up("the gateways are not ready");
     }
     thread::sleep(Duration::from_millis(4_000));
@@ -51,21 +54,21 @@
     let _new = [start("i-4", "v2"), start("i-5", "v2")];
     record.line("the release begins: i-4 and i-5 of version v2 are ready");
     thread::sleep(Duration::from_millis(1_000));
-    let streams = ask_all(record, &[killed.clients, calm.clients]);
+    let streams = ask_all(record, &[lost.clients, calm.clients]);
     thread::sleep(Duration::from_millis(2_000));
     if lab::has_trouble() {
+        lost.signal("STOP");
         store.go_down();
-        record.line("the store is away");
-        thread::sleep(Duration::from_millis(100));
-        killed.kill();
-        record.line("edge-1 is killed");
-        thread::sleep(AWAY_TIME - Duration::from_millis(100));
+        record.line("edge-1 loses power, and the store is away");
+        thread::sleep(AWAY_TIME);
         store.come_back(Some(copy));
         record.line("the store is back from the copy");
-        killed.restart();
+        thread::sleep(DARK_TIME - AWAY_TIME);
+        lost.kill();
+        lost.restart();
+        record.line("edge-1 is back");
     }
-    let outcomes: Vec<Outcome> =
-        streams.into_iter().flat_map(|thread| thread.join()).collect();
+    let outcomes: Vec<Outcome> = streams.into_iter().flat_map(|thread| thread.join()).collect();
     let has = |outcome: &Outcome, version: &str| {
         outcome.events.iter().any(|event| event.contains(version))
     };
@@ -84,10 +87,11 @@
         let (name, record) = (format!("stream-{number}"), record.clone());
         let gateways = gateways.to_vec();
         thread::spawn(move || {
+            // Clients don't keep in step.
+            thread::sleep(SPREAD * number / STREAMS);
             let target = ("shop.example", "/tell/1");
             let deadline = Duration::from_millis(8_000);
-            let jitter = MAX_JITTER * number / STREAMS;
-            Ask { name, target, deadline, gateways: &gateways, jitter }.run(&record)
+            Ask { name, target, deadline, gateways: &gateways }.run(&record)
         })
     };
     (0..STREAMS).map(ask).collect()
--- a/review/tests/lab/store.rs
+++ b/review/tests/lab/store.rs
@@ -64,6 +64,8 @@
     outside: BTreeMap<String, String>,
     era: u64,
     is_down: bool,
+    /// Whether it answers nothing while it is down, rather than closing connections.
+    is_silent: bool,
     connections: Vec<TcpStream>,
 }
 
@@ -82,7 +84,7 @@
             for stream in listener.incoming().flatten() {
                 let _ = stream.set_nodelay(true);
                 let mut state = accepting.lock();
-                if state.is_down {
+                if state.is_down && !state.is_silent {
                     continue;
                 }
                 state.connections.extend(stream.try_clone());
@@ -128,16 +130,26 @@
         self.lock().copy.clone()
     }
 
-    /// Goes away: connections are reset, and new ones are closed at once.
+    /// Goes away: connections are closed, new ones at once.
     pub fn go_down(&self) {
         let mut state = self.lock();
         state.is_down = true;
+        state.is_silent = false;
         for connection in state.connections.drain(..) {
             let _ = connection.shutdown(Shutdown::Both);
         }
         self.shared.changed.notify_all();
     }
 
+    /// Goes away: calls get no answer, and nothing comes on their connections any more.
+    pub fn fall_silent(&self) {
+        let mut state = self.lock();
+        state.is_down = true;
+        state.is_silent = true;
+        state.connections.clear();
+        self.shared.changed.notify_all();
+    }
+
     /// Comes back, with what it had or from a copy. What the operator and the engines have
     /// written is written again.
     pub fn come_back(&self, copy: Option<Copy>) {
@@ -201,7 +213,13 @@
         while let Some(head) = http::read_head(&mut reader) {
             let Some(body) = http::read_body(&mut reader, &head) else { return };
             let body = String::from_utf8_lossy(&body).into_owned();
-            let Some((status, answer, era)) = self.call(&head.line, &body) else { return };
+            let Some((status, answer, era)) = self.call(&head.line, &body) else {
+                if self.lock().is_silent {
+                    // Nothing more is answered until the peer closes the connection.
+                    let _ = std::io::copy(&mut reader, &mut std::io::sink());
+                }
+                return;
+            };
             let text = format!(
                 "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nStore-Era: {era}\r\n\
                  Content-Length: {}\r\n\r\n{answer}",
--- a/review/tests/lab/streams.rs
+++ b/review/tests/lab/streams.rs
@@ -11,8 +11,8 @@
 /// Longest time without an event before a client abandons a channel.
 pub const MAX_GAP: Duration = Duration::from_millis(2_400);
 
-/// Most client attempts.
-const MAX_TRIES: usize = 4;
+/// Most client attempts: the first one and one retry.
+const MAX_TRIES: usize = 2;
 
 /// What became of a stream.
 #[derive(Debug, Clone, Default)]
@@ -37,8 +37,6 @@
     pub deadline: Duration,
     /// The gateways of the client attempts, one after the other; the last one is kept to.
     pub gateways: &'a [SocketAddr],
-    /// Added to what a refusal says, so that clients don't come back in step.
-    pub jitter: Duration,
 }
 
 impl Ask<'_> {
@@ -87,8 +85,7 @@
                 break;
             }
             let left = self.deadline.saturating_sub(start.elapsed());
-            let delay = if retry_after.is_zero() { retry_after } else { retry_after + self.jitter };
-            std::thread::sleep(delay.min(left / 3));
+            std::thread::sleep(retry_after.min(left / 3));
         }
         outcome
     }
--- a/review/tests/power.rs
+++ b/review/tests/power.rs
@@ -92,8 +92,7 @@
         thread::spawn(move || {
             let target = ("shop.example", "/tell/1");
             let deadline = Duration::from_millis(8_000);
-            let jitter = Duration::ZERO;
-            Ask { name, target, deadline, gateways: &gateways, jitter }.run(&record)
+            Ask { name, target, deadline, gateways: &gateways }.run(&record)
         })
     };
     (0..STREAMS).map(ask).collect()
