Show that an engine gets requests too late after a watch was cut

A failed watch counts as an outage of the store, and for 2.2 s after the listing that follows an endpoint is kept although the store reports its removal: longer than drain_ms, 2,000 ms. The script cuts the waiting watches once, 100 ms before the removal.

--- a/review/tests/keys.rs
+++ b/review/tests/keys.rs
@@ -62,7 +62,7 @@
         ask(&format!("after-unknown-{number}"), "never-a-key");
     }
     let runs = engines.iter().flat_map(|engine| engine.runs.lock().expect("runs").clone());
-    let ids: Vec<String> = runs.map(|head| head.get("x-request-id").to_owned()).collect();
+    let ids: Vec<String> = runs.map(|(_, head)| head.get("x-request-id").to_owned()).collect();
     let count = |prefix: &str| ids.iter().filter(|id| id.starts_with(prefix)).count();
     let (revoked, unknown) = (count("after-revoked"), count("after-unknown"));
     let text = format!(
--- a/review/tests/lab/engine.rs
+++ b/review/tests/lab/engine.rs
@@ -18,9 +18,6 @@
 use super::record::Record;
 use super::store::Store;
 
-/// Interval between status reports.
-const HEARTBEAT: Duration = Duration::from_millis(1_200);
-
 /// What an engine answers to a request that it runs: writes the answer, and returns whether the
 /// connection is kept.
 pub type Handler = Arc<dyn Fn(&Engine, &Head, &[u8], &mut TcpStream) -> bool + Send + Sync>;
@@ -38,8 +35,8 @@
     handler: Handler,
     is_stopped: Arc<AtomicBool>,
     connections: Arc<Mutex<Vec<TcpStream>>>,
-    /// The head of each request that it has run.
-    pub runs: Arc<Mutex<Vec<Head>>>,
+    /// The head of each request that it has run, with the time of its arrival.
+    pub runs: Arc<Mutex<Vec<(Duration, Head)>>>,
 }
 
 impl Engine {
@@ -67,17 +64,8 @@
         };
         let accepting = engine.clone();
         thread::spawn(move || accepting.accept(&listener));
-        let (reporting, store) = (engine.clone(), store.clone());
-        reporting.report(&store, 1);
-        thread::spawn(move || {
-            for seq in 2.. {
-                thread::sleep(HEARTBEAT);
-                if reporting.is_stopped() {
-                    return;
-                }
-                reporting.report(&store, seq);
-            }
-        });
+        // The entry changes only when more than its number does, so it is written once.
+        engine.report(store, 1);
         engine
     }
 
@@ -86,6 +74,11 @@
         self.is_stopped.load(Ordering::SeqCst)
     }
 
+    /// Leaves without a report: its entry is removed, and it goes on serving.
+    pub fn leave(&self, store: &Store) {
+        store.remove(&format!("servers/{}", self.id));
+    }
+
     /// Ends it at once: nothing listens any more, and all connections are closed.
     pub fn crash(&self) {
         self.is_stopped.store(true, Ordering::SeqCst);
@@ -148,7 +141,8 @@
                 head.get("x-tenant"),
                 head.get("last-event-id")
             ));
-            self.runs.lock().expect("runs").push(head.clone());
+            let arrival = (self.record.elapsed(), head.clone());
+            self.runs.lock().expect("runs").push(arrival);
             if !(self.handler)(self, &head, &body, &mut stream) {
                 let _ = stream.shutdown(Shutdown::Both);
                 return;
--- a/review/tests/lab/mod.rs
+++ b/review/tests/lab/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod base64;
 pub mod client;
+pub mod contents;
 pub mod engine;
 pub mod gateway;
 pub mod http;
--- a/review/tests/lab/store.rs
+++ b/review/tests/lab/store.rs
@@ -16,15 +16,13 @@
 use std::time::Instant;
 
 use super::base64;
+use super::contents::Copy;
 use super::http;
 use super::json::Value;
 
 /// Interval between checks for leases that have ended.
 const LEASE_CHECK: Duration = Duration::from_millis(100);
 
-/// Most items of a page.
-const PAGE: usize = 500;
-
 /// The store. Clones are the same one.
 #[derive(Clone)]
 pub struct Store {
@@ -37,26 +35,6 @@
     changed: Condvar,
 }
 
-#[derive(Clone)]
-struct Item {
-    value: String,
-    revision: u64,
-    created: u64,
-    lease: u64,
-}
-
-/// A copy of what the store holds.
-#[derive(Clone, Default)]
-pub struct Copy {
-    revision: u64,
-    items: BTreeMap<String, Item>,
-    /// Changes by revision; `None` stands for a removal.
-    history: Vec<(u64, String, Option<Item>)>,
-    /// End and duration.
-    leases: BTreeMap<u64, (Instant, Duration)>,
-    last_lease: u64,
-}
-
 #[derive(Default)]
 struct State {
     copy: Copy,
@@ -66,6 +44,8 @@
     is_down: bool,
     /// Whether it answers nothing while it is down, rather than closing connections.
     is_silent: bool,
+    /// How often watches were cut.
+    cuts: u64,
     connections: Vec<TcpStream>,
 }
 
@@ -141,6 +121,12 @@
         self.shared.changed.notify_all();
     }
 
+    /// Cuts the watches that are waiting.
+    pub fn cut_watches(&self) {
+        self.lock().cuts += 1;
+        self.shared.changed.notify_all();
+    }
+
     /// Goes away: calls get no answer, and nothing comes on their connections any more.
     pub fn fall_silent(&self) {
         let mut state = self.lock();
@@ -214,10 +200,15 @@
             let Some(body) = http::read_body(&mut reader, &head) else { return };
             let body = String::from_utf8_lossy(&body).into_owned();
             let Some((status, answer, era)) = self.call(&head.line, &body) else {
-                if self.lock().is_silent {
+                let is_silent = {
+                    let state = self.lock();
+                    state.is_down && state.is_silent
+                };
+                if is_silent {
                     // Nothing more is answered until the peer closes the connection.
                     let _ = std::io::copy(&mut reader, &mut std::io::sink());
                 }
+                let _ = stream.shutdown(Shutdown::Both);
                 return;
             };
             let text = format!(
@@ -249,8 +240,9 @@
             ("GET", "/kv-range") => state.copy.page(&text("prefix"), &text("after")),
             ("GET", "/kv-watch") => {
                 let end = Instant::now() + Duration::from_millis(number("wait_ms"));
+                let cuts = state.cuts;
                 loop {
-                    if state.is_down {
+                    if state.is_down || state.cuts > cuts {
                         return None;
                     }
                     let found = state.copy.events(&text("prefix"), number("after"));
@@ -293,108 +285,6 @@
     }
 }
 
-impl Copy {
-    fn put(&mut self, key: &str, value: String, lease: u64) {
-        self.revision += 1;
-        let revision = self.revision;
-        let created = self.items.get(key).map_or(revision, |item| item.created);
-        let item = Item { value, revision, created, lease };
-        self.items.insert(key.to_owned(), item.clone());
-        self.history.push((revision, key.to_owned(), Some(item)));
-    }
-
-    fn remove(&mut self, key: &str) {
-        if self.items.remove(key).is_some() {
-            self.revision += 1;
-            self.history.push((self.revision, key.to_owned(), None));
-        }
-    }
-
-    fn end_lease(&mut self, lease: u64) {
-        self.leases.remove(&lease);
-        let held = self.items.iter().filter(|(_, item)| item.lease == lease);
-        let held: Vec<String> = held.map(|(key, _)| key.clone()).collect();
-        held.iter().for_each(|key| self.remove(key));
-    }
-
-    fn read(&self, key: &str) -> (u16, String) {
-        match self.items.get(key) {
-            Some(item) => {
-                let mut text = item.json(key);
-                text.truncate(text.len() - 1);
-                (200, format!("{text},\"as_of\":{}}}", self.revision))
-            }
-            None => (404, "{}".to_owned()),
-        }
-    }
-
-    fn page(&self, prefix: &str, after: &str) -> (u16, String) {
-        let found = |key: &String| key.starts_with(prefix) && key.as_str() > after;
-        let mut items = self.items.iter().filter(|(key, _)| found(key));
-        let page: Vec<String> =
-            items.by_ref().take(PAGE).map(|(key, item)| item.json(key)).collect();
-        let truncated = items.next().is_some();
-        let entries = page.join(",");
-        let as_of = self.revision;
-        (200, format!("{{\"entries\":[{entries}],\"truncated\":{truncated},\"as_of\":{as_of}}}"))
-    }
-
-    /// Returns the changes after a revision, and whether there are none; `None` if that revision
-    /// does not exist.
-    fn events(&self, prefix: &str, after: u64) -> Option<(String, bool)> {
-        if after > self.revision {
-            return None;
-        }
-        let events: Vec<String> = self
-            .history
-            .iter()
-            .filter(|(revision, key, _)| *revision > after && key.starts_with(prefix))
-            .map(|(revision, key, item)| match item {
-                Some(item) => item.json(key),
-                None => format!("{{\"key\":\"{key}\",\"revision\":{revision},\"removed\":true}}"),
-            })
-            .collect();
-        let text = format!("{{\"events\":[{}],\"as_of\":{}}}", events.join(","), self.revision);
-        Some((text, events.is_empty()))
-    }
-
-    fn commit(&mut self, body: &Value) -> (u16, String) {
-        for row in body.list("expect_rev") {
-            let revision = self.items.get(row.text("key")).map_or(0, |item| item.revision);
-            if revision != row.number("revision") {
-                return (412, "{\"entries\":[]}".to_owned());
-            }
-        }
-        let puts = body.list("puts");
-        let has_lease = |row: &Value| match row.number("lease") {
-            0 => true,
-            lease => self.leases.contains_key(&lease),
-        };
-        if !puts.iter().all(has_lease) {
-            return (404, "{}".to_owned());
-        }
-        for row in puts {
-            self.put(row.text("key"), row.text("value").to_owned(), row.number("lease"));
-        }
-        for key in body.list("delete") {
-            if let Value::Text(key) = key {
-                self.remove(key);
-            }
-        }
-        (200, format!("{{\"revision\":{}}}", self.revision))
-    }
-}
-
-impl Item {
-    fn json(&self, key: &str) -> String {
-        let Item { value, revision, created, lease } = self;
-        format!(
-            "{{\"key\":\"{key}\",\"value\":\"{value}\",\"revision\":{revision},\
-             \"create_revision\":{created},\"lease\":{lease}}}"
-        )
-    }
-}
-
 /// Decodes a pair of a query.
 fn pair(text: &str) -> Option<(String, String)> {
     let (name, value) = text.split_once('=')?;
