Don't take a stream of a restored store's copy for one of the only version

Cause: a stream without a stored row was taken for one of the only version that rows name. That is a fact about all gateways only while what is stored is all that was written. The copy lacked the rows of the new version; and what the asking gateway itself knew of versions was not looked at.

The session test `a_stream_of_the_new_version_goes_on_at_the_old_one_after_ a_restore_of_the_store` failed before: the stream was answered whole at v1.

`resolve` counts the versions that the asking gateway knows, and infers nothing for 2.2 s after a restore, in which endpoints announce themselves again; the client's request waits for that. A log line and a metric name the reason why a version isn't known.

--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -33,6 +33,17 @@
 /// which takes some milliseconds.
 const COPY_MIN_TOKENS: u32 = 512;
 
+/// A history of the store; it begins another one whenever it comes back from a copy.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct History {
+    /// Number of restores before it.
+    pub(crate) restores: u64,
+    /// Time at which the endpoints were first read from it.
+    pub(crate) since: Duration,
+    /// Whether the endpoints were read from no history before it.
+    pub(crate) is_first: bool,
+}
+
 /// The known endpoints, their occupancy and outlier ejection.
 #[derive(Debug)]
 pub(crate) struct Endpoints {
@@ -40,8 +51,8 @@
     seed: u64,
     /// Whether all announcements have been read once.
     is_loaded: bool,
-    /// Number of restores of the store after which the endpoints were last read.
-    restores: u64,
+    /// The history of the store from which the endpoints were last read.
+    history: History,
     /// Until this time an announcement may be missing only because of an outage of the store.
     grace_until: Duration,
     /// Endpoints that were removed lately, which a restored store may still have.
@@ -61,7 +72,7 @@
         Endpoints {
             seed,
             is_loaded: false,
-            restores: 0,
+            history: History::default(),
             grace_until: Duration::ZERO,
             removed: Removed::default(),
             endpoints: Vec::new(),
@@ -76,6 +87,11 @@
         self.is_loaded
     }
 
+    /// Returns the history of the store from which the endpoints were last read.
+    pub(crate) fn history(&self) -> History {
+        self.history
+    }
+
     /// Returns all endpoints, sorted by id.
     pub(crate) fn endpoints(&self) -> Vec<Arc<Endpoint>> {
         self.endpoints.iter().map(|tracked| Arc::clone(&tracked.endpoint)).collect()
@@ -103,7 +119,7 @@
 
     /// Whether the store has come back from a copy since the endpoints were last read.
     fn is_restored(&self, restores: u64) -> bool {
-        self.is_loaded && restores > self.restores
+        self.is_loaded && restores > self.history.restores
     }
 
     /// Replaces the endpoints by the announced ones. After an outage or a restore of the store,
@@ -126,7 +142,9 @@
             let gone = self.endpoints.extract_if(.., |tracked| !is_announced(tracked));
             gone.for_each(|tracked| self.removed.add(tracked.endpoint, now));
         }
-        self.restores = self.restores.max(restores);
+        if !self.is_loaded || self.is_restored(restores) {
+            self.history = History { restores, since: now, is_first: !self.is_loaded };
+        }
         for endpoint in announced {
             self.put(endpoint);
         }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -84,7 +84,8 @@
         return Ok(None);
     }
     let stream = request.stream_id().ok_or(Refusal::UnknownVersion)?;
-    let version = worker.context.routing.origins().find(&request.service, stream).await;
+    let routing = &worker.context.routing;
+    let version = routing.find_version(&request.service, stream, request.deadline).await;
     version.map(Some).ok_or(Refusal::UnknownVersion)
 }
 
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -7,16 +7,30 @@
 
 use parking_lot::Mutex;
 use policy::origin;
+use policy::origin::Journal;
 use policy::origin::Ledger;
+use policy::origin::Origin;
+use policy::origin::Outlook;
 use policy::origin::Segment;
 use policy::origin::StreamId;
 use route::Endpoint;
 use tokio::sync::Notify;
 use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio::time::sleep;
 use tokio::time::timeout;
+use tokio::time::timeout_at;
 
-/// Timeout for the read of the store that a request to resume a stream waits for.
-const READ_TIMEOUT: Duration = Duration::from_millis(2_000);
+use crate::endpoints::History;
+use crate::record;
+
+/// Longest time for which a request to resume a stream waits until the version that began it is
+/// known: a read of the store, or what endpoints and gateways take to write again after it has come
+/// back from a copy.
+const FIND_TIMEOUT: Duration = Duration::from_millis(2_600);
+
+/// Interval between reads of the store while others may still write what it lacks.
+const PENDING_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Longest time for which the first events of a stream are held back until the store has its
 /// version. It is short against the time to a first token.
@@ -49,7 +63,16 @@
     /// The last read that it answers.
     pub(crate) number: u64,
     /// What all gateways have stored; `None` if the store could not be read.
-    pub(crate) segments: Option<Arc<Vec<Segment>>>,
+    pub(crate) stored: Option<Arc<Stored>>,
+}
+
+/// What all gateways have stored.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(crate) struct Stored {
+    /// Number of restores of the store when it was read.
+    pub(crate) restores: u64,
+    /// A journal for each process.
+    pub(crate) journals: Vec<Journal>,
 }
 
 impl Default for Origins {
@@ -107,11 +130,46 @@
         self.tried.send_replace(number);
     }
 
-    /// Returns the version that began a stream of a service; `None` if that can't be found out.
-    pub(crate) async fn find(&self, service: &str, stream: StreamId) -> Option<Arc<str>> {
+    /// Returns the version that began a stream of a service; `None` if that can't be found out
+    /// before the deadline. `history` returns what the endpoints were read from, and the time.
+    pub(crate) async fn find(
+        &self,
+        service: &str,
+        stream: StreamId,
+        deadline: Instant,
+        history: impl Fn() -> (History, Duration),
+    ) -> Option<Arc<str>> {
         if let Some(version) = self.ledger.lock().find(service, stream) {
             return Some(Arc::from(version));
         }
+        let deadline = deadline.min(Instant::now() + FIND_TIMEOUT);
+        loop {
+            let Some(stored) = self.read(deadline).await else {
+                record::unknown_version(service, "unread", &Stored::default());
+                return None;
+            };
+            let (history, now) = history();
+            let outlook = self.outlook(stored.restores, &history, now);
+            match origin::resolve(&stored.journals, &outlook, service, stream) {
+                Origin::Version(version) => return Some(Arc::from(version)),
+                Origin::Pending if Instant::now() + PENDING_INTERVAL < deadline => {
+                    sleep(PENDING_INTERVAL).await;
+                }
+                Origin::Pending => {
+                    record::unknown_version(service, "pending", &stored);
+                    return None;
+                }
+                Origin::Unknown => {
+                    record::unknown_version(service, "not_stored", &stored);
+                    return None;
+                }
+            }
+        }
+    }
+
+    /// Returns what all gateways have stored, by a read that begins now; `None` if that fails or
+    /// doesn't end before the deadline.
+    async fn read(&self, deadline: Instant) -> Option<Arc<Stored>> {
         let mut reading = self.reading.subscribe();
         let mut number = 0;
         self.wanted.send_modify(|wanted| {
@@ -119,8 +177,17 @@
             number = *wanted;
         });
         let read = reading.wait_for(|reading| reading.number >= number);
-        let segments = timeout(READ_TIMEOUT, read).await.ok()?.ok()?.segments.clone()?;
-        origin::resolve(&segments, service, stream).map(Arc::from)
+        timeout_at(deadline, read).await.ok()?.ok()?.stored.clone()
+    }
+
+    /// Returns what this gateway itself knows of versions, to go with what was stored when the store
+    /// had come back from a copy this often.
+    fn outlook(&self, restores: u64, history: &History, now: Duration) -> Outlook {
+        let versions = self.ledger.lock().versions(now);
+        // The endpoints may not have been read since the last restore.
+        let is_same = history.restores == restores;
+        let age = if is_same { now.saturating_sub(history.since) } else { Duration::ZERO };
+        Outlook { versions, age, is_first: is_same && history.is_first }
     }
 
     /// Returns what is to be stored: the versions, and the segments with their places in a ring.
--- a/crates/gateway/src/peer/restores.rs
+++ b/crates/gateway/src/peer/restores.rs
@@ -22,6 +22,11 @@
         Restores { receiver, known }
     }
 
+    /// Returns the number of restores before the history that is known; `None` if none is.
+    pub(crate) fn known(&self) -> Option<u64> {
+        self.known
+    }
+
     /// Waits for a time, or until the store has come back from a copy. Returns whether it has.
     pub(crate) async fn wait(&mut self, time: Duration) -> bool {
         timeout(time, self.next()).await.is_ok()
--- a/crates/gateway/src/peer/streams.rs
+++ b/crates/gateway/src/peer/streams.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use policy::origin::Journal;
 use policy::origin::Segment;
 use rand::RngExt;
 use services::Store;
@@ -13,11 +14,13 @@
 use services::store::Lease;
 use services::store::Outcome;
 use services::store::Put;
+use services::version;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::origins::Reading;
+use crate::origins::Stored;
 use crate::peer::Peers;
 use crate::peer::Restores;
 
@@ -53,8 +56,8 @@
     let mut wanted = origins.wanted.subscribe();
     while wanted.changed().await.is_ok() {
         let number = *wanted.borrow_and_update();
-        let segments = match timeout(READ_TIMEOUT, store.list(PREFIX)).await {
-            Ok(Ok(entries)) => Some(Arc::new(entries.iter().filter_map(decode).collect())),
+        let stored = match timeout(READ_TIMEOUT, store.list(PREFIX)).await {
+            Ok(Ok(entries)) => Some(Arc::new(decode_all(&entries))),
             Ok(Err(error)) => {
                 log::warn!("the streams of other gateways can't be read: {error}");
                 None
@@ -64,7 +67,7 @@
                 None
             }
         };
-        origins.reading.send_replace(Reading { number, segments });
+        origins.reading.send_replace(Reading { number, stored });
         sleep(READ_PAUSE).await;
     }
 }
@@ -72,15 +75,16 @@
 /// Stores the versions that this gateway may use, and the streams that it begins while there are
 /// several of them.
 pub(crate) async fn keep_written(store: &dyn Store, peers: &Peers) {
-    let prefix = format!("{PREFIX}{}/{:x}/", peers.own().vm, rand::rng().random::<u32>());
-    let mut writer = Writer { store, prefix, lease: None, written: Vec::new() };
+    let process = format!("{PREFIX}{}/{:x}", peers.own().vm, rand::rng().random::<u32>());
     let mut restores = Restores::new(peers);
+    let known = restores.known().unwrap_or_default();
+    let mut writer = Writer { store, process, restores: known, lease: None, written: Vec::new() };
     loop {
         let routing = peers.routing();
         let _ = timeout(IDLE_INTERVAL, routing.origins().changed.notified()).await;
         if restores.has_restored() {
             // The copy may lack what was written, and its lease may be another gateway's.
-            writer.forget();
+            writer.set_restores(restores.known().unwrap_or_default());
         }
         routing.origins().announce(&routing.endpoints(), routing.now());
         let number = routing.origins().recorded();
@@ -109,7 +113,11 @@
 /// Writes the segments of one process.
 struct Writer<'a> {
     store: &'a dyn Store,
-    prefix: String,
+    /// Common prefix of the keys of this process.
+    process: String,
+    /// Number of restores of the store before its present history, which is part of the keys: what
+    /// was written before a restore may be incomplete.
+    restores: u64,
     /// With the time of its last renewal.
     lease: Option<(Lease, Instant)>,
     /// Keys and values as the store has them.
@@ -117,6 +125,14 @@
 }
 
 impl Writer<'_> {
+    /// Begins to write in another history of the store. The number never decreases.
+    fn set_restores(&mut self, restores: u64) {
+        if restores > self.restores {
+            self.restores = restores;
+            self.forget();
+        }
+    }
+
     /// Forgets what was written, so that all of it is written again under another lease.
     fn forget(&mut self) {
         self.lease = None;
@@ -130,9 +146,10 @@
         segments: &[(u64, Segment)],
     ) -> Result<(), Error> {
         let lease = self.lease().await?;
-        let mut current = vec![(format!("{}versions", self.prefix), encode(versions)?)];
+        let prefix = format!("{}.{}/", self.process, self.restores);
+        let mut current = vec![(format!("{prefix}versions"), encode(versions)?)];
         for (place, segment) in segments {
-            current.push((format!("{}{place}", self.prefix), encode(segment)?));
+            current.push((format!("{prefix}{place}"), encode(segment)?));
         }
         let is_new = |row: &&(String, Vec<u8>)| !self.written.contains(row);
         let puts = current.iter().filter(is_new).map(|(key, value)| Put {
@@ -148,8 +165,9 @@
             return Ok(());
         }
         match self.store.commit(&commit).await {
-            Ok(Outcome::Written(_)) => {
+            Ok(Outcome::Written(version)) => {
                 self.written = current;
+                self.set_restores(version::restores(version));
                 Ok(())
             }
             Ok(Outcome::Conflict) => {
@@ -183,9 +201,69 @@
         .map_err(|error| Error::Protocol(format!("a segment of streams can't be encoded: {error}")))
 }
 
-/// Decodes a stored segment; `None` if the entry is none or is malformed.
+/// Decodes what all gateways have stored. Keys of another form are left out.
+fn decode_all(entries: &[Entry]) -> Stored {
+    let restores = entries.iter().map(|entry| version::restores(entry.version)).max();
+    let restores = restores.unwrap_or_default();
+    // Sorted by process.
+    let mut processes: Vec<Process<'_>> = Vec::new();
+    for entry in entries {
+        let Some(place) = Place::parse(&entry.key) else { continue };
+        let find = |process: &Process<'_>| process.name.cmp(place.process);
+        let index = processes.binary_search_by(find).unwrap_or_else(|index| {
+            processes.insert(index, Process { name: place.process, ..Process::default() });
+            index
+        });
+        let process = &mut processes[index];
+        process.is_current |= place.restores == Some(restores);
+        match decode(entry) {
+            Some(segment) => process.segments.push(segment),
+            None => process.is_malformed = true,
+        }
+    }
+    Stored { restores, journals: processes.into_iter().map(Process::into_journal).collect() }
+}
+
+/// What the keys of one process hold.
+#[derive(Default)]
+struct Process<'a> {
+    name: &'a str,
+    /// Whether it has written in the present history of the store. It writes all anew then.
+    is_current: bool,
+    is_malformed: bool,
+    segments: Vec<Segment>,
+}
+
+impl Process<'_> {
+    fn into_journal(self) -> Journal {
+        let is_complete = self.is_current && !self.is_malformed;
+        Journal { is_complete, segments: self.segments }
+    }
+}
+
+/// The parts of a key.
+struct Place<'a> {
+    process: &'a str,
+    /// Number of restores of the store before it was written; `None` if another build wrote it.
+    restores: Option<u64>,
+}
+
+impl Place<'_> {
+    /// Parses a key; `None` if it is none of a segment.
+    fn parse(key: &str) -> Option<Place<'_>> {
+        let (process, _) = key.strip_prefix(PREFIX)?.rsplit_once('/')?;
+        let with_restores = process.rsplit_once('.');
+        let parsed =
+            with_restores.and_then(|(process, number)| Some((process, number.parse().ok()?)));
+        Some(match parsed {
+            Some((process, restores)) => Place { process, restores: Some(restores) },
+            None => Place { process, restores: None },
+        })
+    }
+}
+
+/// Decodes a stored segment; `None` if it is malformed.
 fn decode(entry: &Entry) -> Option<Segment> {
-    entry.key.strip_prefix(PREFIX)?;
     let decoded = postcard::from_bytes(&entry.value);
     let log = |error: &postcard::Error| {
         log::warn!(key = entry.key.as_str(); "a segment of streams is malformed: {error}");
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -13,6 +13,7 @@
 use crate::attempt::Outcome;
 use crate::forward::Attempts;
 use crate::framing::Framing;
+use crate::origins::Stored;
 use crate::refusal::Refusal;
 use crate::request::Request;
 use crate::response::Response;
@@ -105,6 +106,16 @@
     }
 }
 
+/// Records that the version that began a stream isn't known, with what the store has of it.
+pub(crate) fn unknown_version(service: &str, reason: &'static str, stored: &Stored) {
+    let incomplete = stored.journals.iter().filter(|journal| !journal.is_complete).count();
+    log::info!(service, reason, restores = stored.restores, journals = stored.journals.len(),
+        incomplete; "the version of a stream is not known");
+    counter!("lycheeknot_gateway_unknown_versions_total",
+        "service" => service.to_owned(), "reason" => reason)
+    .increment(1);
+}
+
 /// End of a stream.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct StreamEnd<'a> {
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -12,6 +12,7 @@
 use parking_lot::Mutex;
 use parking_lot::RwLock;
 use policy::exchange::Sheet;
+use policy::origin::StreamId;
 use policy::quarantine::Digest;
 use policy::quarantine::StartId;
 use policy::quarantine::Suspect;
@@ -133,6 +134,18 @@
         &self.origins
     }
 
+    /// Returns the version that began a stream of a service; `None` if that can't be found out
+    /// before the deadline.
+    pub(crate) async fn find_version(
+        &self,
+        service: &str,
+        stream: StreamId,
+        deadline: tokio::time::Instant,
+    ) -> Option<Arc<str>> {
+        let history = || (self.endpoints.lock().history(), self.now());
+        self.origins.find(service, stream, deadline, history).await
+    }
+
     /// Records that the endpoints that were known at the address of an announced one have ended.
     fn record_ended(&self, known: &Endpoints, announced: &Endpoint) {
         for ended in known.ended_before(announced) {
--- a/crates/gateway/tests/sessions/versions.rs
+++ b/crates/gateway/tests/sessions/versions.rs
@@ -1,9 +1,11 @@
 //! Tests of streams before endpoints of several software versions.
 
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
 use gateway::register;
+use services::store::Entry;
 use tokio::runtime::Builder;
 use tokio_util::sync::CancellationToken;
 
@@ -139,6 +141,45 @@
     gateway.kill();
 }
 
+#[test]
+fn a_stream_of_the_new_version_goes_on_at_the_old_one_after_a_restore_of_the_store() {
+    let broken = vec![stream_start(), event(1), Step::Pause(30), Step::Close];
+    let old = [0, 1].map(|number| Endpoint::start(&format!("e{number}"), vec![rest()]));
+    let new = [5, 6].map(|number| Endpoint::start(&format!("e{number}"), vec![broken.clone()]));
+    let store = Fake::default();
+    let (first, second) = (Gateway::start(&store, &old, &[]), Gateway::start(&store, &old, &[]));
+    // From before the new version, of which both gateways hear now.
+    let copy = store.entries.lock().clone();
+    for gateway in [&first, &second] {
+        new.iter().for_each(|endpoint| gateway.fixture.announce("model", endpoint, "v2"));
+    }
+    thread::sleep(Duration::from_millis(300));
+    let begin = |number| {
+        let response =
+            Client::connect(first.fixture.address).exchange(&once(&format!("r{number}")));
+        response.ends_with("(closed)\n").then_some(number)
+    };
+    let begun: Vec<u32> = (0..40).filter_map(begin).collect();
+    assert!(!begun.is_empty(), "no stream began at the new version");
+    first.kill();
+    restore(&store, copy);
+    let seen = old.each_ref().map(|endpoint| endpoint.seen().len());
+    // What the first gateway has stored of them is lost.
+    for number in begun.iter().take(3) {
+        let request = take_up(&format!("s{number}"), &format!("r{number}"));
+        let response = Client::connect(second.fixture.address).exchange(&request);
+        assert!(response.contains("which software version"), "{response}");
+    }
+    assert_eq!(old.each_ref().map(|endpoint| endpoint.seen().len()), seen);
+    second.kill();
+}
+
+/// Lets a store come back from a copy with these keys.
+fn restore(store: &Fake, copy: Vec<Entry>) {
+    *store.entries.lock() = copy;
+    store.restores.fetch_add(1, Ordering::SeqCst);
+}
+
 /// A gateway with a store.
 struct Gateway {
     fixture: Fixture,
--- a/crates/gateway/tests/support/store.rs
+++ b/crates/gateway/tests/support/store.rs
@@ -1,6 +1,8 @@
 //! A store that keeps its keys until they are removed.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use futures_util::FutureExt;
@@ -12,6 +14,7 @@
 use services::store::Error;
 use services::store::Lease;
 use services::store::Outcome;
+use services::version;
 use tokio::time::sleep;
 
 /// The keys, shared by all clones.
@@ -20,6 +23,14 @@
     pub entries: Arc<Mutex<Vec<Entry>>>,
     /// Time that it takes to read all keys with a prefix.
     pub list_time: Duration,
+    /// How often it has come back from a copy.
+    pub restores: Arc<AtomicU64>,
+}
+
+impl Fake {
+    fn version(&self) -> u64 {
+        version::version(self.restores.load(Ordering::SeqCst), 1).expect("a version")
+    }
 }
 
 impl Store for Fake {
@@ -31,7 +42,8 @@
     fn list<'a>(&'a self, prefix: &'a str) -> LocalBoxFuture<'a, Result<Vec<Entry>, Error>> {
         let entries = self.entries.lock();
         let listed = entries.iter().filter(|entry| entry.key.starts_with(prefix));
-        let listed = listed.cloned().collect();
+        let version = self.version();
+        let listed = listed.map(|entry| Entry { version, ..entry.clone() }).collect();
         let time = self.list_time;
         async move {
             sleep(time).await;
@@ -49,8 +61,9 @@
         let is_put = |key: &str| write.puts.iter().any(|put| put.key == key);
         entries.retain(|entry| !write.removes.contains(&entry.key) && !is_put(&entry.key));
         let puts = write.puts.iter().cloned();
-        entries.extend(puts.map(|put| Entry { key: put.key, value: put.value, version: 1 }));
-        async { Ok(Outcome::Written(1)) }.boxed_local()
+        let version = self.version();
+        entries.extend(puts.map(|put| Entry { key: put.key, value: put.value, version }));
+        async move { Ok(Outcome::Written(version)) }.boxed_local()
     }
 
     fn watch<'a>(&'a self, _: &'a str, _: u64) -> LocalBoxFuture<'a, Result<Option<Entry>, Error>> {
--- a/crates/policy/src/origin.rs
+++ b/crates/policy/src/origin.rs
@@ -5,10 +5,16 @@
 //! service has several, which of them began each stream. A version that nobody stored is unknown,
 //! never assumed to be the one that is left. See `docs/decisions/versions.md`.
 
+mod journal;
 mod ledger;
+mod outlook;
 mod segment;
 
+use std::time::Duration;
+
+pub use journal::Journal;
 pub use ledger::Ledger;
+pub use outlook::Outlook;
 pub use segment::Row;
 pub use segment::Segment;
 use xxhash_rust::xxh3::xxh3_64;
@@ -17,27 +23,51 @@
 /// read when a client comes back small, and tell some ten thousand streams apart.
 pub type StreamId = u32;
 
+/// Time after which endpoints and gateways have written again what the copy lacks from which the
+/// store came back. Endpoints announce themselves within two seconds.
+const SETTLE_TIME: Duration = Duration::from_millis(2_200);
+
+/// What is known of the version that began a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Origin<'a> {
+    /// This version began it.
+    Version(&'a str),
+    /// It isn't known yet: others may still write what the store lacks.
+    Pending,
+    /// It can't be found out.
+    Unknown,
+}
+
 /// Returns the id of the stream whose first event a request brought.
 pub fn stream_id(request: &str) -> StreamId {
     // The lower half of the hash.
     xxh3_64(request.as_bytes()) as StreamId
 }
 
-/// Returns the version that began a stream of a service, by all that gateways have stored; `None`
-/// if that is not known.
+/// Returns which version began a stream of a service, by all that gateways have stored and by what
+/// the asking one knows itself.
 ///
-/// If all gateways used the same version lately, it began the stream, whether it was stored or not.
-pub fn resolve<'a>(segments: &'a [Segment], service: &str, stream: StreamId) -> Option<&'a str> {
-    let rows = segments.iter().flat_map(|segment| &segment.rows);
-    let rows = rows.filter(|row| row.service == service);
-    let mut only = None;
-    let mut is_mixed = false;
-    for row in rows {
-        if row.streams.contains(&stream) {
-            return Some(&row.version);
-        }
-        let known = *only.get_or_insert(&row.version);
-        is_mixed |= *known != row.version;
+/// If all of them know the same version only, it began the stream, whether it was stored or not.
+pub fn resolve<'a>(
+    journals: &'a [Journal],
+    outlook: &'a Outlook,
+    service: &str,
+    stream: StreamId,
+) -> Origin<'a> {
+    if let Some(version) = journals.iter().find_map(|journal| journal.find(service, stream)) {
+        return Origin::Version(version);
+    }
+    let is_complete = journals.iter().all(|journal| journal.is_complete);
+    let is_settled = outlook.age >= SETTLE_TIME || outlook.is_first && is_complete;
+    if !is_settled {
+        return Origin::Pending;
+    }
+    let stored = journals.iter().flat_map(|journal| journal.versions(service));
+    let mut versions: Vec<&str> = stored.chain(outlook.versions(service)).collect();
+    versions.sort_unstable();
+    versions.dedup();
+    match versions[..] {
+        [version] => Origin::Version(version),
+        _ => Origin::Unknown,
     }
-    only.filter(|_| !is_mixed).map(String::as_str)
 }
--- /dev/null
+++ b/crates/policy/src/origin/journal.rs
@@ -0,0 +1,34 @@
+//! What one process of a gateway has stored.
+
+use crate::origin::Segment;
+use crate::origin::StreamId;
+
+/// The segments of one process, as they were read from the store.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Journal {
+    /// Whether it has all that the process has stored. It may lack some of it if it was written
+    /// before the store came back from a copy, or if a segment is malformed.
+    pub is_complete: bool,
+    /// The segments, in any order.
+    pub segments: Vec<Segment>,
+}
+
+impl Journal {
+    /// Returns the version at which the process began a stream of a service; `None` if it has
+    /// stored no such stream.
+    pub(crate) fn find(&self, service: &str, stream: StreamId) -> Option<&str> {
+        let rows = self.segments.iter().flat_map(|segment| &segment.rows);
+        let mut rows = rows.filter(|row| row.service == service);
+        rows.find(|row| row.streams.contains(&stream)).map(|row| row.version.as_str())
+    }
+
+    /// Returns the versions of a service that the process may have used lately, sorted.
+    pub(crate) fn versions(&self, service: &str) -> Vec<&str> {
+        let rows = self.segments.iter().flat_map(|segment| &segment.rows);
+        let rows = rows.filter(|row| row.service == service);
+        let mut versions: Vec<&str> = rows.map(|row| row.version.as_str()).collect();
+        versions.sort_unstable();
+        versions.dedup();
+        versions
+    }
+}
--- a/crates/policy/tests/origin.rs
+++ b/crates/policy/tests/origin.rs
@@ -2,10 +2,13 @@
 
 use std::time::Duration;
 
+use policy::origin::Journal;
 use policy::origin::Ledger;
+use policy::origin::Origin;
+use policy::origin::Outlook;
 use policy::origin::Row;
 use policy::origin::Segment;
-use policy::origin::resolve;
+use policy::origin::StreamId;
 use policy::origin::stream_id;
 
 fn at(seconds: u64) -> Duration {
@@ -13,9 +16,71 @@
 }
 
 /// Returns what another gateway reads of a ledger.
-fn stored(ledger: &Ledger, now: Duration) -> Vec<Segment> {
+fn stored(ledger: &Ledger, now: Duration) -> Vec<Journal> {
     let segments = ledger.mixed_segments(now).into_iter().map(|(_, segment)| segment);
-    [ledger.versions(now)].into_iter().chain(segments).collect()
+    let segments = [ledger.versions(now)].into_iter().chain(segments).collect();
+    vec![Journal { is_complete: true, segments }]
+}
+
+/// Returns the version that a gateway finds which knows nothing but what is stored.
+fn resolve<'a>(stored: &'a [Journal], service: &str, stream: StreamId) -> Option<&'a str> {
+    let outlook = Outlook { is_first: true, ..Outlook::default() };
+    match policy::origin::resolve(stored, &outlook, service, stream) {
+        Origin::Version(version) => stored
+            .iter()
+            .flat_map(|journal| &journal.segments)
+            .flat_map(|segment| &segment.rows)
+            .map(|row| row.version.as_str())
+            .find(|known| *known == version),
+        Origin::Unknown => None,
+        Origin::Pending => panic!("nothing is left to be written"),
+    }
+}
+
+/// Returns what a gateway knows that has heard of these versions.
+fn outlook(versions: &[&str], age: Duration, is_first: bool) -> Outlook {
+    let mut ledger = Ledger::default();
+    versions.iter().for_each(|version| ledger.announce("model", version, at(1)));
+    Outlook { versions: ledger.versions(at(1)), age, is_first }
+}
+
+#[test]
+fn a_version_that_only_the_reader_knows_is_taken_for_none() {
+    let mut ledger = Ledger::default();
+    ledger.announce("model", "v1", at(1));
+    let stored = stored(&ledger, at(1));
+    let both = outlook(&["v1", "v2"], at(0), true);
+    assert_ne!(policy::origin::resolve(&stored, &both, "model", 5), Origin::Version("v1"));
+}
+
+#[test]
+fn what_was_stored_before_a_restore_counts_as_all_that_there_was() {
+    let mut ledger = Ledger::default();
+    ledger.record("model", "v1", 5, at(1));
+    ledger.announce("model", "v2", at(2));
+    let mut stored = stored(&ledger, at(2));
+    stored[0].is_complete = false;
+    let segments = stored[0].segments.clone();
+    let only_old = Journal { is_complete: false, segments: vec![segments[1].clone()] };
+    let (young, old) = (Duration::from_millis(2_100), Duration::from_millis(2_300));
+    let find = |journals: &[Journal], outlook: &Outlook, stream| match policy::origin::resolve(
+        journals, outlook, "model", stream,
+    ) {
+        Origin::Version(version) => version.to_owned(),
+        other => format!("{other:?}"),
+    };
+    for is_first in [false, true] {
+        // What is stored is right, but may not be all.
+        assert_eq!(find(&stored, &outlook(&["v1"], young, is_first), 5), "v1");
+        let only_old = [only_old.clone()];
+        assert_eq!(find(&only_old, &outlook(&["v1"], young, is_first), 6), "Pending");
+        assert_eq!(find(&only_old, &outlook(&["v1"], old, is_first), 6), "v1");
+        assert_eq!(find(&only_old, &outlook(&["v1", "v2"], old, is_first), 6), "Unknown");
+    }
+    // A gateway that saw the restore can't tell by the journals what these lack.
+    let only_old = [Journal { is_complete: true, ..only_old }];
+    assert_eq!(find(&only_old, &outlook(&["v1"], young, false), 6), "Pending");
+    assert_eq!(find(&only_old, &outlook(&["v1"], young, true), 6), "v1");
 }
 
 #[test]
