Resolve the version of a stream by what each gateway knew, not all together

Cause: rows of all gateways were taken together. One that knew v1 and another that knew v1 and v2 made two versions, and a stream without a row unknown. A gateway that knows several versions stores each stream before its first event, so one without a row began at a gateway that knew one.

Evidence: refusals come at once with reason not_stored; the session test `streams_of_a_gateway_that_ended_before_a_new_version_came_are_refused_elsewhere` failed before.

It keeps to the stored ones again as long as one of their endpoints has a free slot; `streams_begin_at_a_version_that_could_not_be_stored_though_others_are_free` failed before.

--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -348,7 +348,9 @@
             self.endpoints.iter().filter(|tracked| tracked.is_available(criteria)).collect();
         let mut healthy = self.ejections.without_ejected(criteria.service, available, now);
         healthy.retain(|tracked| tracked.limiter.allows());
-        if healthy.iter().any(|tracked| criteria.prefers(&tracked.endpoint)) {
+        let is_free =
+            |tracked: &&Tracked| criteria.prefers(&tracked.endpoint) && tracked.has_free_slot(now);
+        if healthy.iter().any(is_free) {
             healthy.retain(|tracked| criteria.prefers(&tracked.endpoint));
         }
         let candidates: Vec<choice::Candidate<'_>> = healthy
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -172,7 +172,7 @@
 
 /// Chooses the endpoint of the next attempt, and counts the request as in flight there.
 fn choose_next(worker: &Worker, request: &Request, attempts: &Attempts) -> Option<Choice> {
-    let versions = worker.context.routing.origins().tried_versions();
+    let versions = worker.context.routing.origins().stored_versions();
     let preferred = if request.is_resumable() { &versions[..] } else { &[] };
     let criteria = Criteria { preferred, ..criteria(worker, request, attempts) };
     worker.context.routing.choose(&criteria)
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -43,8 +43,8 @@
 #[derive(Debug)]
 pub(crate) struct Origins {
     ledger: Mutex<Ledger>,
-    /// Versions for which a write was tried, sorted by service and version.
-    tried_versions: Mutex<Arc<Vec<(String, String)>>>,
+    /// Versions that the store has of this gateway, sorted by service and version.
+    stored_versions: Mutex<Arc<Vec<(String, String)>>>,
     /// Number of the last stream that was recorded.
     recorded: AtomicU64,
     /// Number of the last stream for which a write was tried.
@@ -79,7 +79,7 @@
     fn default() -> Origins {
         Origins {
             ledger: Mutex::default(),
-            tried_versions: Mutex::default(),
+            stored_versions: Mutex::default(),
             recorded: AtomicU64::default(),
             tried: watch::Sender::default(),
             changed: Notify::new(),
@@ -196,16 +196,16 @@
         (ledger.versions(now), ledger.mixed_segments(now))
     }
 
-    /// Sets the versions for which a write was tried.
-    pub(crate) fn set_tried_versions(&self, versions: &Segment) {
+    /// Sets the versions that the store has of this gateway.
+    pub(crate) fn set_stored_versions(&self, versions: &Segment) {
         let rows = versions.rows.iter();
         let rows = rows.map(|row| (row.service.clone(), row.version.clone()));
-        *self.tried_versions.lock() = Arc::new(rows.collect());
+        *self.stored_versions.lock() = Arc::new(rows.collect());
     }
 
-    /// Returns the versions for which a write was tried, sorted by service and version. New streams
-    /// begin there.
-    pub(crate) fn tried_versions(&self) -> Arc<Vec<(String, String)>> {
-        Arc::clone(&self.tried_versions.lock())
+    /// Returns the versions that the store has of this gateway, sorted by service and version. New
+    /// streams begin there: to other gateways it looks as if this one used no other version.
+    pub(crate) fn stored_versions(&self) -> Arc<Vec<(String, String)>> {
+        Arc::clone(&self.stored_versions.lock())
     }
 }
--- a/crates/gateway/src/peer/streams.rs
+++ b/crates/gateway/src/peer/streams.rs
@@ -92,12 +92,10 @@
         if versions.rows.is_empty() {
             continue;
         }
-        if let Err(error) = writer.write(&versions, &segments).await {
-            log::info!("the streams of this gateway were not stored: {error}");
+        match writer.write(&versions, &segments).await {
+            Ok(()) => routing.origins().set_stored_versions(&versions),
+            Err(error) => log::info!("the streams of this gateway were not stored: {error}"),
         }
-        // New streams don't keep to the versions that are stored while the store fails: those may
-        // have the fewest endpoints.
-        routing.origins().set_tried_versions(&versions);
         routing.origins().set_tried(number);
         sleep(write_interval(peers)).await;
     }
--- a/crates/gateway/src/tracked.rs
+++ b/crates/gateway/src/tracked.rs
@@ -41,6 +41,12 @@
         }
     }
 
+    /// Whether it would process another request at once, as far as it announces that.
+    pub(crate) fn has_free_slot(&self, now: Duration) -> bool {
+        let slots = self.endpoint.slots.map_or(f64::INFINITY, f64::from);
+        self.occupancy.requests(now) < slots
+    }
+
     /// Whether a request with these criteria may be sent to it.
     pub(crate) fn is_available(&self, criteria: &Criteria<'_>) -> bool {
         self.is_suitable(criteria) && self.notice.pause(criteria.now).is_zero()
--- a/crates/gateway/tests/sessions/versions.rs
+++ b/crates/gateway/tests/sessions/versions.rs
@@ -174,6 +174,44 @@
     second.kill();
 }
 
+#[test]
+fn streams_of_a_gateway_that_ended_before_a_new_version_came_are_refused_elsewhere() {
+    let old = [0, 1].map(|number| Endpoint::start(&format!("e{number}"), vec![rest()]));
+    let new = [5, 6].map(|number| Endpoint::start(&format!("e{number}"), vec![rest()]));
+    let store = Fake::default();
+    let (first, second) = (Gateway::start(&store, &old, &[]), Gateway::start(&store, &old, &[]));
+    first.kill();
+    new.iter().for_each(|endpoint| second.fixture.announce("model", endpoint, "v2"));
+    thread::sleep(Duration::from_millis(300));
+    for number in 2..8 {
+        // The first gateway stored no streams, as it knew one version only.
+        let request = take_up(&format!("r{number}"), "r1");
+        let response = Client::connect(second.fixture.address).exchange(&request);
+        assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
+    }
+    assert!(new.iter().all(|endpoint| endpoint.seen().is_empty()));
+    second.kill();
+}
+
+#[test]
+fn streams_begin_at_a_version_that_could_not_be_stored_though_others_are_free() {
+    let old = [0, 1].map(|number| Endpoint::start(&format!("e{number}"), vec![rest()]));
+    let new = [5, 6].map(|number| Endpoint::start(&format!("e{number}"), vec![rest()]));
+    let store = Fake::default();
+    let gateway = Gateway::start(&store, &old, &[]);
+    store.is_read_only.store(true, Ordering::SeqCst);
+    new.iter().for_each(|endpoint| gateway.fixture.announce("model", endpoint, "v2"));
+    thread::sleep(Duration::from_millis(300));
+    for number in 0..12 {
+        let response =
+            Client::connect(gateway.fixture.address).exchange(&once(&format!("r{number}")));
+        assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
+    }
+    // Other gateways would take them for streams of the old version.
+    assert!(new.iter().all(|endpoint| endpoint.seen().is_empty()));
+    gateway.kill();
+}
+
 /// Lets a store come back from a copy with these keys.
 fn restore(store: &Fake, copy: Vec<Entry>) {
     *store.entries.lock() = copy;
--- a/crates/gateway/tests/support/store.rs
+++ b/crates/gateway/tests/support/store.rs
@@ -1,6 +1,7 @@
 //! A store that keeps its keys until they are removed.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -23,6 +24,8 @@
     pub entries: Arc<Mutex<Vec<Entry>>>,
     /// Time that it takes to read all keys with a prefix.
     pub list_time: Duration,
+    /// Whether it rejects writes.
+    pub is_read_only: Arc<AtomicBool>,
     /// How often it has come back from a copy.
     pub restores: Arc<AtomicU64>,
 }
@@ -53,6 +56,9 @@
     }
 
     fn commit<'a>(&'a self, write: &'a Commit) -> LocalBoxFuture<'a, Result<Outcome, Error>> {
+        if self.is_read_only.load(Ordering::SeqCst) {
+            return async { Err(Error::Down("read only".to_owned())) }.boxed_local();
+        }
         let mut entries = self.entries.lock();
         let exists = |key: &str| entries.iter().any(|entry| entry.key == key);
         if write.conditions.iter().any(|condition| exists(&condition.key)) {
--- a/crates/policy/src/origin.rs
+++ b/crates/policy/src/origin.rs
@@ -27,6 +27,10 @@
 /// store came back. Endpoints announce themselves within two seconds.
 const SETTLE_TIME: Duration = Duration::from_millis(2_200);
 
+/// Time since a restore of the store after which the streams of gateways whose journals it lost are
+/// over.
+const LOST_JOURNALS_TIME: Duration = Duration::from_secs(60);
+
 /// What is known of the version that began a stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Origin<'a> {
@@ -47,7 +51,9 @@
 /// Returns which version began a stream of a service, by all that gateways have stored and by what
 /// the asking one knows itself.
 ///
-/// If all of them know the same version only, it began the stream, whether it was stored or not.
+/// If all of them know the same version only, it began the stream, whether it was stored or not. If
+/// they know several, those that know more than one have stored each stream, so one that isn't stored
+/// began at a gateway that knew a single version.
 pub fn resolve<'a>(
     journals: &'a [Journal],
     outlook: &'a Outlook,
@@ -66,7 +72,18 @@
     let mut versions: Vec<&str> = stored.chain(outlook.versions(service)).collect();
     versions.sort_unstable();
     versions.dedup();
-    match versions[..] {
+    if let [version] = versions[..] {
+        return Origin::Version(version);
+    }
+    let has_all_journals = outlook.is_first || outlook.age >= LOST_JOURNALS_TIME;
+    if !is_complete || !has_all_journals {
+        return Origin::Unknown;
+    }
+    let single = journals.iter().filter_map(|journal| journal.single_version(service));
+    let mut single: Vec<&str> = single.collect();
+    single.sort_unstable();
+    single.dedup();
+    match single[..] {
         [version] => Origin::Version(version),
         _ => Origin::Unknown,
     }
--- a/crates/policy/src/origin/journal.rs
+++ b/crates/policy/src/origin/journal.rs
@@ -22,6 +22,15 @@
         rows.find(|row| row.streams.contains(&stream)).map(|row| row.version.as_str())
     }
 
+    /// Returns the version of a service if the process knew no other one. It stored none of its
+    /// streams then.
+    pub(crate) fn single_version(&self, service: &str) -> Option<&str> {
+        match self.versions(service)[..] {
+            [version] => Some(version),
+            _ => None,
+        }
+    }
+
     /// Returns the versions of a service that the process may have used lately, sorted.
     pub(crate) fn versions(&self, service: &str) -> Vec<&str> {
         let rows = self.segments.iter().flat_map(|segment| &segment.rows);
--- a/crates/policy/tests/origin.rs
+++ b/crates/policy/tests/origin.rs
@@ -48,9 +48,51 @@
 fn a_version_that_only_the_reader_knows_is_taken_for_none() {
     let mut ledger = Ledger::default();
     ledger.announce("model", "v1", at(1));
-    let stored = stored(&ledger, at(1));
-    let both = outlook(&["v1", "v2"], at(0), true);
-    assert_ne!(policy::origin::resolve(&stored, &both, "model", 5), Origin::Version("v1"));
+    let mut stored = stored(&ledger, at(1));
+    stored[0].is_complete = false;
+    let both = outlook(&["v1", "v2"], at(3), true);
+    assert_eq!(policy::origin::resolve(&stored, &both, "model", 5), Origin::Unknown);
+}
+
+#[test]
+fn a_stream_of_a_gateway_that_knew_one_version_is_unknown_while_others_know_two() {
+    let mut mixed = Ledger::default();
+    mixed.record("model", "v1", 5, at(1));
+    mixed.record("model", "v2", 6, at(2));
+    let single = |version: &str| {
+        let mut ledger = Ledger::default();
+        ledger.announce("model", version, at(1));
+        stored(&ledger, at(1))
+    };
+    let all = [stored(&mixed, at(2)), single("v1"), single("v1")].concat();
+    assert_eq!(resolve(&all, "model", 6), Some("v2"));
+    assert_eq!(resolve(&all, "model", 7), Some("v1"));
+    // Two gateways that know one version each may both have begun it.
+    let all = [stored(&mixed, at(2)), single("v1"), single("v2")].concat();
+    assert_eq!(resolve(&all, "model", 7), None);
+    assert_eq!(resolve(&stored(&mixed, at(2)), "model", 7), None);
+}
+
+#[test]
+fn a_gateway_whose_journal_a_restore_may_have_lost_counts_as_none() {
+    let mut mixed = Ledger::default();
+    mixed.announce("model", "v1", at(1));
+    mixed.announce("model", "v2", at(1));
+    let mut single = Ledger::default();
+    single.announce("model", "v1", at(1));
+    let all = [stored(&mixed, at(1)), stored(&single, at(1))].concat();
+    let versions = ["v1", "v2"];
+    let find = |age, is_first| {
+        let outlook = outlook(&versions, at(age), is_first);
+        policy::origin::resolve(&all, &outlook, "model", 7) == Origin::Version("v1")
+    };
+    assert!(find(0, true));
+    assert!(!find(59, false));
+    assert!(find(60, false));
+    let mut incomplete = all.clone();
+    incomplete[1].is_complete = false;
+    let outlook = outlook(&versions, at(60), true);
+    assert_eq!(policy::origin::resolve(&incomplete, &outlook, "model", 7), Origin::Unknown);
 }
 
 #[test]
