Ask for a key also when client accounts have none left

Cause: the table kept accounts only under their keys, and took an empty list of keys for a configuration without accounts, whose requests need none.

Evidence: `requests_without_a_valid_key_run_once_the_last_key_was_taken_away` puts such tables in force and failed before: 200 instead of 401.

Change: the keys of a table are `None` without accounts, else a list that may be empty.

--- a/crates/gateway/tests/sessions/requests.rs
+++ b/crates/gateway/tests/sessions/requests.rs
@@ -5,6 +5,8 @@
 use std::time::Instant;
 
 use expect_test::expect;
+use platform::Codec;
+use route::Dialect;
 
 use crate::support::client::Client;
 use crate::support::endpoint::Endpoint;
@@ -70,6 +72,43 @@
     check(&received(&endpoint), expect![""]);
 }
 
+#[test]
+fn requests_without_a_valid_key_run_once_the_last_key_was_taken_away() {
+    let endpoint = Endpoint::start("e1", vec![full_response("200 OK", "found")]);
+    let fixture = Fixture::new("plain", &[&endpoint]);
+    let configure = |version: u64, accounts: &str| {
+        let table = format!(
+            r#"{{"version": {version}, "services": [{{"name": "plain"}}], {accounts} "routes":
+                [{{"name": "look", "hostname": "h.example", "prefix": "/look/", "service": "plain",
+                   "type": "idempotent"}},
+                 {{"name": "open", "hostname": "h.example", "prefix": "/open/", "service": "plain",
+                   "type": "idempotent", "public": true}}]}}"#
+        );
+        let table = Codec.table(table.as_bytes()).expect("a configuration");
+        assert!(fixture.routing.set_table(table));
+    };
+    let status = |path: &str, key: &str| {
+        let request =
+            format!("GET {path} HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r1\r\n{key}\r\n");
+        let response = Client::connect(fixture.address).exchange(&request);
+        response.lines().next().unwrap_or_default().to_owned()
+    };
+    let key = "Authorization: Bearer k1\r\n";
+    for (version, accounts) in [
+        (8, r#""tenants": [{"name": "club", "api_keys": []}],"#),
+        (9, r#""tenants": [{"name": "club"}],"#),
+        (10, r#""tenants": [],"#),
+    ] {
+        configure(version, accounts);
+        assert_eq!(status("/look/1", key), "HTTP/1.1 401 Unauthorized", "{accounts}");
+        assert_eq!(status("/look/1", ""), "HTTP/1.1 401 Unauthorized", "{accounts}");
+        assert_eq!(status("/open/1", key), "HTTP/1.1 200 OK", "{accounts}");
+    }
+    // Without accounts no request needs a key.
+    configure(11, "");
+    assert_eq!(status("/look/1", ""), "HTTP/1.1 200 OK");
+}
+
 #[test]
 fn a_path_without_a_route_is_refused() {
     let fixture = Fixture::new("plain", &[]);
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -14,8 +14,9 @@
     version: Version,
     /// Sorted by host and prefix.
     rules: Vec<Arc<Rule>>,
-    /// Sorted by key.
-    keys: Vec<(Arc<str>, Arc<Account>)>,
+    /// Sorted by key. `None` if the configuration has no client accounts; it has if all of them have
+    /// lost their keys.
+    keys: Option<Vec<(Arc<str>, Arc<Account>)>>,
     /// Sorted by name.
     services: Vec<Service>,
     limits: Limits,
@@ -44,17 +45,20 @@
 }
 
 impl Table {
-    /// Creates a routing table from the parts of a configuration, in any order.
+    /// Creates a routing table from the parts of a configuration, in any order. The keys are `None`
+    /// if it has no client accounts.
     pub fn new(
         version: Version,
         rules: Vec<Rule>,
-        mut keys: Vec<(Arc<str>, Arc<Account>)>,
+        mut keys: Option<Vec<(Arc<str>, Arc<Account>)>>,
         mut services: Vec<Service>,
         limits: Limits,
     ) -> Table {
         let mut rules: Vec<Arc<Rule>> = rules.into_iter().map(Arc::new).collect();
         rules.sort_by(|left, right| sort_key(left).cmp(&sort_key(right)));
-        keys.sort_by(|left, right| left.0.cmp(&right.0));
+        if let Some(keys) = &mut keys {
+            keys.sort_by(|left, right| left.0.cmp(&right.0));
+        }
         services.sort_by(|left, right| left.name.cmp(&right.name));
         Table { version, rules, keys, services, limits }
     }
@@ -86,15 +90,16 @@
         found.next()
     }
 
-    /// Whether any client accounts are configured; if not, requests need no key.
+    /// Whether client accounts are configured, with or without keys; if not, requests need no key.
     pub fn has_accounts(&self) -> bool {
-        !self.keys.is_empty()
+        self.keys.is_some()
     }
 
     /// Returns the client account of a key.
     pub fn account(&self, key: &str) -> Option<&Arc<Account>> {
-        let index = self.keys.binary_search_by(|(known, _)| (**known).cmp(key)).ok()?;
-        Some(&self.keys[index].1)
+        let keys = self.keys.as_deref()?;
+        let index = keys.binary_search_by(|(known, _)| (**known).cmp(key)).ok()?;
+        Some(&keys[index].1)
     }
 
     /// Returns the service with this name.
