Take a watch that is cut for no outage, and honour removals in time after one

Cause: each failed watch counted as an outage, after which endpoints whose entries are missing or removed are kept for 2.2 s and a look each 0.2 s. That is meant for announcements that lapse while the store is away. It is also longer than allowed after a real outage.

Change: a watch that fails before its answer is due is a cut, and an outage only if the next call fails as well. A reported removal is in force after 1.5 s at the latest, and an endpoint that is kept gets nothing after its time.

--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -28,6 +28,11 @@
 /// Running endpoints announce themselves again within two seconds.
 const REANNOUNCE_TIMEOUT: Duration = Duration::from_millis(2_200);
 
+/// How long an endpoint is kept whose removal the store reports shortly after an outage. Together with
+/// the pause between reads of changes it is below the two seconds in which an endpoint that is
+/// leaving may get requests.
+const REMOVAL_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 /// Shortest prompt prefix that is copied between endpoints, in tokens. Computing a shorter one
 /// again, at the specified 140 tokens per millisecond, takes less time than setting up a copy,
 /// which takes some milliseconds.
@@ -158,14 +163,14 @@
     }
 
     /// Removes an endpoint whose announcement was removed. Shortly after an outage of the store
-    /// the endpoint is kept until it had time to announce itself again.
+    /// the endpoint is kept for a while, in which it may announce itself again.
     pub(crate) fn remove(&mut self, id: &str, now: Duration) {
         if now >= self.grace_until {
             return self.remove_now(id, now);
         }
-        let grace_until = self.grace_until;
+        let until = self.grace_until.min(now + REMOVAL_TIMEOUT);
         self.update(id, |tracked| {
-            tracked.missing_until.get_or_insert(grace_until);
+            tracked.missing_until = Some(tracked.missing_until.map_or(until, |it| it.min(until)));
         });
     }
 
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -110,6 +110,18 @@
     Endpoints,
 }
 
+/// Why a watch ended.
+#[derive(Debug, Clone, Copy)]
+enum End {
+    /// It failed before its answer was due. The store may work all the while: it is an outage only if
+    /// the next call fails as well.
+    Cut,
+    /// The store was away, or came back from a copy. Announcements may have lapsed.
+    Outage,
+    /// The store no longer has the changes that were asked for.
+    Compacted,
+}
+
 /// Reads the keys under one prefix and applies their changes.
 #[derive(Clone)]
 struct Watcher<'a> {
@@ -136,6 +148,7 @@
                 false => self.feed.scan(self.prefix).await,
             };
             is_first = false;
+            let mut has_failed = true;
             let is_older = listing.as_ref().is_ok_and(|listing| self.is_older(listing));
             match listing {
                 // A peer's newer snapshot may have been adopted during the call. If a second
@@ -153,10 +166,12 @@
                     let now = self.routing.now();
                     self.peers.update_mirror(|mirror| mirror.replace(self.prefix, listing, now));
                     let start = Instant::now();
-                    after_outage = self.watch(version).await;
+                    let end = self.watch(version).await;
                     if start.elapsed() >= WATCH_TIMEOUT {
                         backoff = MIN_BACKOFF;
                     }
+                    after_outage = matches!(end, End::Outage);
+                    has_failed = !matches!(end, End::Compacted);
                 }
                 Err(error) => {
                     log::warn!(prefix = self.prefix; "the store can't be read: {error}");
@@ -165,7 +180,7 @@
                 }
             }
             was_older = is_older;
-            if after_outage {
+            if has_failed {
                 let is_relayed = self.peers.has_relay(Duty::Store);
                 back_off(&mut backoff, if is_relayed { MAX_RELAYED_BACKOFF } else { MAX_BACKOFF })
                     .await;
@@ -178,11 +193,11 @@
         listing.version < self.peers.mirror().version(self.prefix)
     }
 
-    /// Applies changes until a call fails. Returns whether the store was unavailable.
+    /// Applies changes until a call fails.
     ///
     /// The caller has to read all keys again then, rather than watch again: a new watch may
     /// return nothing until its timeout.
-    async fn watch(&self, mut version: u64) -> bool {
+    async fn watch(&self, mut version: u64) -> End {
         let mut is_relayed = false;
         loop {
             let after = Cursor { prefix: self.prefix.to_owned(), version };
@@ -198,6 +213,7 @@
                 continue;
             }
             let wait = self.watch_timeout();
+            let start = Instant::now();
             match self.feed.changes(self.prefix, version, wait).await {
                 Ok(change) => {
                     version = change.version.max(version);
@@ -208,16 +224,17 @@
                 }
                 Err(Error::Restored) => {
                     log::warn!(prefix = self.prefix, version; "the store was restored from a copy");
-                    return true;
+                    return End::Outage;
                 }
                 Err(Error::Compacted) => {
                     log::warn!(prefix = self.prefix, version; "the store dropped its history");
-                    return false;
+                    return End::Compacted;
                 }
                 Err(error) => {
-                    log::warn!(prefix = self.prefix, version; "the store is lost: {error}");
+                    let is_overdue = start.elapsed() >= wait;
+                    log::warn!(prefix = self.prefix, version, is_overdue; "the store is lost: {error}");
                     self.peers.update_mirror(|mirror| mirror.set_lost(self.prefix));
-                    return true;
+                    return if is_overdue { End::Outage } else { End::Cut };
                 }
             }
         }
--- a/crates/gateway/src/tracked.rs
+++ b/crates/gateway/src/tracked.rs
@@ -59,6 +59,7 @@
             && endpoint.state == State::Ready
             && criteria.version.is_none_or(|version| *endpoint.version == *version)
             && !self.is_replaced
+            && self.missing_until.is_none_or(|until| criteria.now < until)
             && !self.notice.is_leaving()
             && !criteria.tried.contains(&endpoint.id)
     }
