Test that a head that is cut is never passed on as a whole response

It can't happen here: heads cut at each byte, with a length, chunked and without either, of plain answers and streams, on new and kept connections, were answered 502 before any change too.

--- a/crates/gateway/tests/sessions/main.rs
+++ b/crates/gateway/tests/sessions/main.rs
@@ -3,6 +3,7 @@
 mod copies;
 mod crashes;
 mod endless;
+mod heads;
 mod limits;
 mod loads;
 mod notices;
