--- a/crates/gateway/tests/sessions/versions.rs
+++ b/crates/gateway/tests/sessions/versions.rs
@@ -212,6 +212,42 @@
     gateway.kill();
 }
 
+#[test]
+fn a_gateway_that_is_out_of_step_takes_streams_of_a_new_version_up_at_the_old_one() {
+    let broken = vec![stream_start(), event(1), Step::Pause(30), Step::Close];
+    let old = [0, 1].map(|number| Endpoint::start(&format!("e{number}"), vec![rest()]));
+    let new = [5, 6].map(|number| Endpoint::start(&format!("e{number}"), vec![broken.clone()]));
+    let store = Fake::default();
+    // The second gateway hears nothing of the new version while it is cut off or stands still.
+    let (first, second) = (Gateway::start(&store, &old, &new), Gateway::start(&store, &old, &[]));
+    let begin = |number: &u32| {
+        let response =
+            Client::connect(first.fixture.address).exchange(&once(&format!("r{number}")));
+        response.ends_with("(closed)\n")
+    };
+    let begun = (0..40).find(begin).expect("a stream of the new version");
+    let seen = old.each_ref().map(|endpoint| endpoint.seen().len());
+    let check = |expected: &str| {
+        let request = take_up("s1", &format!("r{begun}"));
+        let response = Client::connect(second.fixture.address).exchange(&request);
+        assert!(response.contains(expected), "{response}");
+        assert_eq!(old.each_ref().map(|endpoint| endpoint.seen().len()), seen);
+    };
+    // While it can't read the store, nothing tells it that there is a new version.
+    store.is_unreadable.store(true, Ordering::SeqCst);
+    check("which software version");
+    // It reads of the new version before it hears of its endpoints.
+    store.is_unreadable.store(false, Ordering::SeqCst);
+    check("no endpoint of the version");
+    new.iter().for_each(|endpoint| second.fixture.announce("model", endpoint, "v2"));
+    let request = take_up("s2", &format!("r{begun}"));
+    let response = Client::connect(second.fixture.address).exchange(&request);
+    assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
+    assert_eq!(old.each_ref().map(|endpoint| endpoint.seen().len()), seen);
+    first.kill();
+    second.kill();
+}
+
 /// Lets a store come back from a copy with these keys.
 fn restore(store: &Fake, copy: Vec<Entry>) {
     *store.entries.lock() = copy;
--- a/crates/gateway/tests/support/store.rs
+++ b/crates/gateway/tests/support/store.rs
@@ -26,6 +26,8 @@
     pub list_time: Duration,
     /// Whether it rejects writes.
     pub is_read_only: Arc<AtomicBool>,
+    /// Whether it rejects reads.
+    pub is_unreadable: Arc<AtomicBool>,
     /// How often it has come back from a copy.
     pub restores: Arc<AtomicU64>,
 }
@@ -48,9 +50,10 @@
         let version = self.version();
         let listed = listed.map(|entry| Entry { version, ..entry.clone() }).collect();
         let time = self.list_time;
+        let is_unreadable = self.is_unreadable.load(Ordering::SeqCst);
         async move {
             sleep(time).await;
-            Ok(listed)
+            if is_unreadable { Err(Error::Down("unreadable".to_owned())) } else { Ok(listed) }
         }
         .boxed_local()
     }
