Tell other gateways of new streams, so that a restored store hides none

Cause: what the gateway had stored after the copy was made was nowhere else.

Change: while a service has several versions, gateways tell each other of the streams that they begin with the reports of loads, each for four exchanges, and of all streams of the last 28 s when the second version comes. They are kept as long as own ones, looked up before the store, and written to it for a minute after a restore. Messages of builds without this are read, and theirs of this one.

Evidence: `a_stream_that_other_gateways_were_told_of_is_unknown_after_a_restore_of_ the_store` asks the gateway that was told, and one that reads what it wrote.

--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -43,6 +43,9 @@
 #[derive(Debug)]
 pub(crate) struct Origins {
     ledger: Mutex<Ledger>,
+    /// Streams that other gateways have told this one they began, which a store that comes back from a
+    /// copy may lack.
+    others: Mutex<Ledger>,
     /// Versions that the store has of this gateway, sorted by service and version.
     stored_versions: Mutex<Arc<Vec<(String, String)>>>,
     /// Number of the last stream that was recorded.
@@ -79,6 +82,7 @@
     fn default() -> Origins {
         Origins {
             ledger: Mutex::default(),
+            others: Mutex::default(),
             stored_versions: Mutex::default(),
             recorded: AtomicU64::default(),
             tried: watch::Sender::default(),
@@ -142,6 +146,9 @@
         if let Some(version) = self.ledger.lock().find(service, stream) {
             return Some(Arc::from(version));
         }
+        if let Some(version) = self.others.lock().find(service, stream) {
+            return Some(Arc::from(version));
+        }
         let deadline = deadline.min(Instant::now() + FIND_TIMEOUT);
         loop {
             let Some(stored) = self.read(deadline).await else {
@@ -196,6 +203,22 @@
         (ledger.versions(now), ledger.mixed_segments(now))
     }
 
+    /// Returns the streams of other gateways that this one knows, with their places in a ring.
+    pub(crate) fn others_to_store(&self, now: Duration) -> Vec<(u64, Segment)> {
+        let others = self.others.lock();
+        others.segments(now).map(|(place, segment)| (place, segment.clone())).collect()
+    }
+
+    /// Learns of streams that another gateway has begun.
+    pub(crate) fn learn(&self, begun: &Segment, now: Duration) {
+        self.others.lock().learn(begun, now);
+    }
+
+    /// Returns the streams of which other gateways are told now.
+    pub(crate) fn told(&self, now: Duration) -> Segment {
+        self.ledger.lock().told(now)
+    }
+
     /// Sets the versions that the store has of this gateway.
     pub(crate) fn set_stored_versions(&self, versions: &Segment) {
         let rows = versions.rows.iter();
--- a/crates/gateway/src/peer/loads.rs
+++ b/crates/gateway/src/peer/loads.rs
@@ -6,6 +6,7 @@
 use futures_util::future::join_all;
 use parking_lot::Mutex;
 use policy::exchange::Report;
+use policy::origin::Segment;
 use policy::rate_limit;
 use policy::rate_limit::Usage;
 use policy::relay::Duty;
@@ -83,6 +84,7 @@
         let message = self.next_message(false);
         let answer = self.client(hub).await?.report(&message, ANSWER_TIMEOUT).await?;
         self.peers.routing().learn_crashes(&answer.crashes);
+        self.learn_begun(&answer.begun);
         Ok((answer.loads, answer.usage))
     }
 
@@ -95,6 +97,7 @@
         match swapped.await {
             Ok(answer) => {
                 routing.learn_crashes(&answer.crashes);
+                self.learn_begun(&answer.begun);
                 self.peers.exchange().record_hub(answer.loads, answer.usage, routing.now());
             }
             Err(error) => self.failed(hub, &error),
@@ -108,9 +111,15 @@
         // Taken first, so that the locks of the routing aren't taken under that of the exchange.
         let (own, own_usage) = (routing.own_loads(), routing.own_usage());
         let (crashes, now) = (routing.crashes(is_new), routing.now());
+        let begun = routing.origins().told(now);
         let mut exchange = self.peers.exchange();
         let usage = exchange.usage_report(own_usage, now);
-        Message { loads: exchange.next_report(own, now), crashes, usage }
+        Message { loads: exchange.next_report(own, now), crashes, usage, begun }
+    }
+
+    fn learn_begun(&self, begun: &Segment) {
+        let routing = self.peers.routing();
+        routing.origins().learn(begun, routing.now());
     }
 
     /// Uses the requests of the other gateways for the choice of endpoints.
--- a/crates/gateway/src/peer/peers.rs
+++ b/crates/gateway/src/peer/peers.rs
@@ -9,6 +9,7 @@
 use parking_lot::Mutex;
 use parking_lot::MutexGuard;
 use policy::exchange::Report;
+use policy::origin::Segment;
 use policy::quarantine::Digest;
 use policy::rate_limit;
 use policy::rate_limit::Usage;
@@ -295,4 +296,12 @@
     fn crashes(&self, is_new: bool) -> Digest {
         self.routing.crashes(is_new)
     }
+
+    fn learn_begun(&self, begun: &Segment) {
+        self.routing.origins().learn(begun, self.routing.now());
+    }
+
+    fn begun(&self) -> Segment {
+        self.routing.origins().told(self.routing.now())
+    }
 }
--- a/crates/gateway/src/peer/streams.rs
+++ b/crates/gateway/src/peer/streams.rs
@@ -34,6 +34,10 @@
 /// Interval between renewals of the lease. One may fail.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(20);
 
+/// Time after a restore of the store for which the streams of other gateways are stored as well:
+/// longer than clients take to come back for them.
+const OTHERS_TIME: Duration = Duration::from_secs(60);
+
 /// Interval between checks for versions that are no longer in use.
 const IDLE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -78,22 +82,36 @@
     let process = format!("{PREFIX}{}/{:x}", peers.own().vm, rand::rng().random::<u32>());
     let mut restores = Restores::new(peers);
     let known = restores.known().unwrap_or_default();
-    let mut writer = Writer { store, process, restores: known, lease: None, written: Vec::new() };
+    let mut writer = Writer {
+        store,
+        process,
+        restores: known,
+        restored: None,
+        lease: None,
+        written: Vec::new(),
+    };
     loop {
         let routing = peers.routing();
         let _ = timeout(IDLE_INTERVAL, routing.origins().changed.notified()).await;
         if restores.has_restored() {
             // The copy may lack what was written, and its lease may be another gateway's.
-            writer.set_restores(restores.known().unwrap_or_default());
+            writer.set_restores(restores.known().unwrap_or_default(), routing.now());
         }
         routing.origins().announce(&routing.endpoints(), routing.now());
         let number = routing.origins().recorded();
         let (versions, segments) = routing.origins().to_store(routing.now());
+        let others = match writer.is_restored(routing.now()) {
+            true => routing.origins().others_to_store(routing.now()),
+            false => Vec::new(),
+        };
         if versions.rows.is_empty() {
             continue;
         }
-        match writer.write(&versions, &segments).await {
-            Ok(()) => routing.origins().set_stored_versions(&versions),
+        match writer.write(&versions, &segments, &others).await {
+            Ok(history) => {
+                writer.set_restores(history, routing.now());
+                routing.origins().set_stored_versions(&versions);
+            }
             Err(error) => log::info!("the streams of this gateway were not stored: {error}"),
         }
         routing.origins().set_tried(number);
@@ -116,6 +134,8 @@
     /// Number of restores of the store before its present history, which is part of the keys: what
     /// was written before a restore may be incomplete.
     restores: u64,
+    /// Time at which that history was first heard of; `None` if there was none before it.
+    restored: Option<Duration>,
     /// With the time of its last renewal.
     lease: Option<(Lease, Instant)>,
     /// Keys and values as the store has them.
@@ -124,31 +144,43 @@
 
 impl Writer<'_> {
     /// Begins to write in another history of the store. The number never decreases.
-    fn set_restores(&mut self, restores: u64) {
+    fn set_restores(&mut self, restores: u64, now: Duration) {
         if restores > self.restores {
             self.restores = restores;
+            self.restored = Some(now);
             self.forget();
         }
     }
 
+    /// Whether the store has come back from a copy lately, and may lack streams of gateways that have
+    /// ended since.
+    fn is_restored(&self, now: Duration) -> bool {
+        self.restored.is_some_and(|at| now.saturating_sub(at) < OTHERS_TIME)
+    }
+
     /// Forgets what was written, so that all of it is written again under another lease.
     fn forget(&mut self) {
         self.lease = None;
         self.written.clear();
     }
 
-    /// Writes what has changed, and removes what is over.
+    /// Writes what has changed, and removes what is over. Returns the number of restores before the
+    /// history of the store in which that is written.
     async fn write(
         &mut self,
         versions: &Segment,
         segments: &[(u64, Segment)],
-    ) -> Result<(), Error> {
+        others: &[(u64, Segment)],
+    ) -> Result<u64, Error> {
         let lease = self.lease().await?;
         let prefix = format!("{}.{}/", self.process, self.restores);
         let mut current = vec![(format!("{prefix}versions"), encode(versions)?)];
         for (place, segment) in segments {
             current.push((format!("{prefix}{place}"), encode(segment)?));
         }
+        for (place, segment) in others {
+            current.push((format!("{prefix}others-{place}"), encode(segment)?));
+        }
         let is_new = |row: &&(String, Vec<u8>)| !self.written.contains(row);
         let puts = current.iter().filter(is_new).map(|(key, value)| Put {
             key: key.clone(),
@@ -160,13 +192,12 @@
         let commit =
             Commit { puts: puts.collect(), removes: removes.collect(), ..Commit::default() };
         if commit.puts.is_empty() && commit.removes.is_empty() {
-            return Ok(());
+            return Ok(self.restores);
         }
         match self.store.commit(&commit).await {
             Ok(Outcome::Written(version)) => {
                 self.written = current;
-                self.set_restores(version::restores(version));
-                Ok(())
+                Ok(version::restores(version))
             }
             Ok(Outcome::Conflict) => {
                 self.forget();
--- a/crates/gateway/tests/sessions/versions.rs
+++ b/crates/gateway/tests/sessions/versions.rs
@@ -1,10 +1,13 @@
 //! Tests of streams before endpoints of several software versions.
 
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
+use gateway::Peers;
 use gateway::register;
+use rpc::view::Source;
 use services::store::Entry;
 use tokio::runtime::Builder;
 use tokio_util::sync::CancellationToken;
@@ -248,6 +251,44 @@
     second.kill();
 }
 
+#[test]
+fn a_stream_that_other_gateways_were_told_of_is_unknown_after_a_restore_of_the_store() {
+    let broken = vec![stream_start(), event(1), Step::Pause(30), Step::Close];
+    let old = [0, 1].map(|number| Endpoint::start(&format!("e{number}"), vec![rest()]));
+    let scripts = vec![broken, rest()];
+    let new = [5, 6].map(|number| Endpoint::start(&format!("e{number}"), scripts.clone()));
+    let store = Fake::default();
+    let (first, second) = (Gateway::start(&store, &old, &[]), Gateway::start(&store, &old, &[]));
+    let copy = store.entries.lock().clone();
+    for gateway in [&first, &second] {
+        new.iter().for_each(|endpoint| gateway.fixture.announce("model", endpoint, "v2"));
+    }
+    thread::sleep(Duration::from_millis(300));
+    let begin = |number: &u32| {
+        let response =
+            Client::connect(first.fixture.address).exchange(&once(&format!("r{number}")));
+        response.ends_with("(closed)\n")
+    };
+    let begun = (0..40).find(begin).expect("a stream of the new version");
+    second.peers.learn_begun(&first.peers.begun());
+    first.kill();
+    restore(&store, copy);
+    let seen = old.each_ref().map(|endpoint| endpoint.seen().len());
+    let check = |gateway: &Gateway, id: &str| {
+        let request = take_up(id, &format!("r{begun}"));
+        let response = Client::connect(gateway.fixture.address).exchange(&request);
+        assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
+        assert_eq!(old.each_ref().map(|endpoint| endpoint.seen().len()), seen);
+    };
+    check(&second, "s1");
+    // It has written what it was told, so a third one reads that.
+    thread::sleep(Duration::from_millis(1_500));
+    let third = Gateway::start(&store, &old, &new);
+    check(&third, "s2");
+    second.kill();
+    third.kill();
+}
+
 /// Lets a store come back from a copy with these keys.
 fn restore(store: &Fake, copy: Vec<Entry>) {
     *store.entries.lock() = copy;
@@ -257,6 +298,7 @@
 /// A gateway with a store.
 struct Gateway {
     fixture: Fixture,
+    peers: Arc<Peers>,
     cancel: CancellationToken,
 }
 
@@ -266,14 +308,15 @@
         let fixture = Fixture::new("model", &old.iter().collect::<Vec<_>>());
         new.iter().for_each(|endpoint| fixture.announce("model", endpoint, "v2"));
         let (cancel, store) = (CancellationToken::new(), store.clone());
-        let (peers, token) = (peers(&fixture.routing, &[member("g1", 10)], 0), cancel.clone());
+        let peers = peers(&fixture.routing, &[member("g1", 10)], 0);
+        let (own, token) = (Arc::clone(&peers), cancel.clone());
         thread::spawn(move || {
             let mut builder = Builder::new_current_thread();
             let runtime = builder.enable_all().build().expect("a runtime");
-            runtime.block_on(register(&store, &peers, token));
+            runtime.block_on(register(&store, &own, token));
         });
         thread::sleep(Duration::from_millis(300));
-        Gateway { fixture, cancel }
+        Gateway { fixture, peers, cancel }
     }
 
     /// Ends it; what it has stored stays, as its lease has not ended.
--- a/crates/policy/src/origin/ledger.rs
+++ b/crates/policy/src/origin/ledger.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::origin::Row;
 use crate::origin::Segment;
 use crate::origin::StreamId;
 
@@ -16,8 +17,12 @@
 /// until a client has come back for it.
 const SEGMENTS: u64 = 8;
 
-/// Most streams of a segment; later ones stay unknown to other gateways.
-const MAX_STREAMS: usize = 8_192;
+/// How long a stream is told to other gateways again and again: four of their exchanges, so that
+/// some of them may fail.
+const TOLD_TIME: Duration = Duration::from_millis(1_100);
+
+/// Most streams that are told at a time.
+const MAX_TOLD: usize = 2_048;
 
 /// The versions that were announced lately, and the streams that this gateway has begun.
 #[derive(Debug, Clone, Default)]
@@ -26,6 +31,17 @@
     versions: Vec<(String, String, Duration)>,
     /// With their numbers, the oldest one first.
     segments: Vec<(u64, Segment)>,
+    /// Streams that other gateways may not have been told yet, with the time since when they are told,
+    /// in that order.
+    untold: Vec<(Duration, Stream)>,
+}
+
+/// A stream of a version of a service.
+#[derive(Debug, Clone)]
+struct Stream {
+    service: String,
+    version: String,
+    id: StreamId,
 }
 
 impl Ledger {
@@ -37,13 +53,59 @@
         match self.versions.binary_search_by(find) {
             Ok(index) => self.versions[index].2 = now,
             Err(index) => {
+                let was_mixed = self.is_mixed(service, now);
                 self.versions.insert(index, (service.to_owned(), version.to_owned(), now));
+                if !was_mixed && self.is_mixed(service, now) {
+                    self.tell_all(service, now);
+                }
+            }
+        }
+    }
+
+    /// Tells other gateways of all streams of a service: until now all had the same version.
+    fn tell_all(&mut self, service: &str, now: Duration) {
+        let rows = self.segments.iter().flat_map(|(_, segment)| &segment.rows);
+        for row in rows.filter(|row| row.service == service) {
+            let told = row.streams.iter().map(|id| {
+                let (service, version) = (row.service.clone(), row.version.clone());
+                (now, Stream { service, version, id: *id })
+            });
+            self.untold.extend(told);
+        }
+    }
+
+    /// Returns the streams of services with several versions of which other gateways are told now.
+    pub fn told(&self, now: Duration) -> Segment {
+        let mut segment = Segment::default();
+        let is_told = |at: Duration| now.saturating_sub(at) < TOLD_TIME;
+        let told = self.untold.iter().rev().filter(|(at, _)| is_told(*at)).take(MAX_TOLD);
+        for (_, Stream { service, version, id }) in told {
+            if self.is_mixed(service, now) {
+                segment.add(service, version, *id);
+            }
+        }
+        segment
+    }
+
+    /// Learns of streams that another gateway has begun.
+    pub fn learn(&mut self, segment: &Segment, now: Duration) {
+        for row in &segment.rows {
+            for stream in &row.streams {
+                if self.find(&row.service, *stream).is_none() {
+                    self.add(&row.service, &row.version, *stream, now);
+                }
             }
         }
     }
 
     /// Records the version that began a stream.
     pub fn record(&mut self, service: &str, version: &str, stream: StreamId, now: Duration) {
+        self.add(service, version, stream, now);
+        let (service, version) = (service.to_owned(), version.to_owned());
+        self.untold.push((now, Stream { service, version, id: stream }));
+    }
+
+    fn add(&mut self, service: &str, version: &str, stream: StreamId, now: Duration) {
         self.forget(now);
         self.announce(service, version, now);
         let number = number(now);
@@ -52,7 +114,8 @@
         }
         let Some((_, segment)) = self.segments.last_mut() else { return };
         let streams: usize = segment.rows.iter().map(|row| row.streams.len()).sum();
-        if streams < MAX_STREAMS {
+        // Later ones stay unknown to other gateways.
+        if streams < Segment::MAX_STREAMS {
             segment.add(service, version, stream);
         }
     }
@@ -82,20 +145,27 @@
     /// Returns the streams of services with several versions, in segments with their places in a
     /// ring. The others need not be stored: all their streams have the same version.
     pub fn mixed_segments(&self, now: Duration) -> Vec<(u64, Segment)> {
-        let oldest = number(now).saturating_sub(SEGMENTS - 1);
-        let segments = self.segments.iter().filter(|(number, _)| *number >= oldest);
-        let mixed = segments.map(|(number, segment)| {
-            let rows = segment.rows.iter().filter(|row| self.is_mixed(&row.service, now));
-            (number % SEGMENTS, Segment { rows: rows.cloned().collect() })
+        let is_mixed = |row: &&Row| self.is_mixed(&row.service, now);
+        let mixed = self.segments(now).map(|(place, segment)| {
+            let rows = segment.rows.iter().filter(is_mixed).cloned().collect();
+            (place, Segment { rows })
         });
         mixed.filter(|(_, segment)| !segment.rows.is_empty()).collect()
     }
 
+    /// Returns the segments of all streams, with their places in a ring.
+    pub fn segments(&self, now: Duration) -> impl Iterator<Item = (u64, &Segment)> {
+        let oldest = number(now).saturating_sub(SEGMENTS - 1);
+        let segments = self.segments.iter().filter(move |(number, _)| *number >= oldest);
+        segments.map(|(number, segment)| (number % SEGMENTS, segment))
+    }
+
     /// Forgets what is over.
     fn forget(&mut self, now: Duration) {
         let oldest = number(now).saturating_sub(SEGMENTS - 1);
         self.segments.retain(|(number, _)| *number >= oldest);
         self.versions.retain(|(_, _, at)| !is_over(*at, now));
+        self.untold.retain(|(at, _)| now.saturating_sub(*at) < TOLD_TIME);
     }
 }
 
--- a/crates/policy/src/origin/segment.rs
+++ b/crates/policy/src/origin/segment.rs
@@ -24,6 +24,18 @@
 }
 
 impl Segment {
+    /// Most streams of a segment that another process sends.
+    pub const MAX_STREAMS: usize = 8_192;
+
+    /// Most rows of a segment that another process sends.
+    const MAX_ROWS: usize = 256;
+
+    /// Whether a segment that another process sent is within the limits.
+    pub fn is_valid(&self) -> bool {
+        let streams = self.rows.iter().map(|row| row.streams.len()).sum::<usize>();
+        self.rows.len() <= Segment::MAX_ROWS && streams <= Segment::MAX_STREAMS
+    }
+
     /// Adds a stream that began at a version of a service.
     pub(crate) fn add(&mut self, service: &str, version: &str, stream: StreamId) {
         self.row(service, version).streams.push(stream);
--- a/crates/policy/tests/origin.rs
+++ b/crates/policy/tests/origin.rs
@@ -174,6 +174,38 @@
     assert_eq!(resolve(&all, "model", 5), None);
 }
 
+#[test]
+fn other_gateways_are_told_of_no_stream_of_a_mixed_service_or_only_once() {
+    let mut ledger = Ledger::default();
+    let streams = |ledger: &Ledger, millis| {
+        let segment = ledger.told(Duration::from_millis(millis));
+        segment.rows.into_iter().flat_map(|row| row.streams).collect::<Vec<StreamId>>()
+    };
+    ledger.record("model", "v1", 5, at(2));
+    assert!(streams(&ledger, 2_000).is_empty());
+    // All streams are told once the service has another version, and new ones then.
+    ledger.announce("model", "v2", at(20));
+    assert_eq!(streams(&ledger, 20_000), [5]);
+    assert_eq!(streams(&ledger, 21_000), [5]);
+    ledger.record("model", "v2", 6, at(21));
+    assert_eq!(streams(&ledger, 21_050), [5, 6]);
+    assert_eq!(streams(&ledger, 21_200), [6]);
+    assert!(streams(&ledger, 22_200).is_empty());
+}
+
+#[test]
+fn streams_that_are_told_again_take_more_and_more_room() {
+    let (mut ledger, mut other) = (Ledger::default(), Ledger::default());
+    ledger.announce("model", "v1", at(1));
+    ledger.record("model", "v2", 6, at(2));
+    for _ in 0..5 {
+        other.learn(&ledger.told(at(2)), at(2));
+    }
+    assert_eq!(other.find("model", 6), Some("v2"));
+    let streams = other.segments(at(2)).flat_map(|(_, segment)| &segment.rows);
+    assert_eq!(streams.map(|row| row.streams.len()).sum::<usize>(), 1);
+}
+
 #[test]
 fn segments_take_their_places_again_and_keep_what_clients_come_back_for() {
     let mut ledger = Ledger::default();
--- a/crates/rpc/src/view.rs
+++ b/crates/rpc/src/view.rs
@@ -15,6 +15,7 @@
 use jsonrpsee::types::ErrorObjectOwned;
 use policy::exchange::Report;
 use policy::exchange::Sheet;
+use policy::origin::Segment;
 use policy::quarantine::Digest;
 use policy::rate_limit;
 use policy::rate_limit::Usage;
@@ -95,20 +96,28 @@
     pub crashes: Digest,
     /// Requests at endpoints that limit them.
     pub usage: U,
+    /// Streams that the sender has begun lately, with their versions.
+    pub begun: Segment,
 }
 
 impl<T: DeserializeOwned, U: DeserializeOwned + Default> Message<T, U> {
     /// Decodes a message of any build; `None` if that fails.
     fn decode(text: &str) -> Option<Message<T, U>> {
+        let begun = Segment::default;
+        let without_begun = || {
+            let (loads, crashes, usage) = packet::decode(text)?;
+            Some(Message { loads, crashes, usage, begun: begun() })
+        };
         let without_usage = || {
             let (loads, crashes) = packet::decode(text)?;
-            Some(Message { loads, crashes, usage: U::default() })
+            Some(Message { loads, crashes, usage: U::default(), begun: begun() })
         };
         let without_crashes = || {
             let loads = packet::decode(text)?;
-            Some(Message { loads, crashes: Digest::default(), usage: U::default() })
+            Some(Message { loads, crashes: Digest::default(), usage: U::default(), begun: begun() })
         };
-        packet::decode(text).or_else(without_usage).or_else(without_crashes)
+        let message = packet::decode(text).or_else(without_begun);
+        message.or_else(without_usage).or_else(without_crashes)
     }
 }
 
@@ -138,6 +147,12 @@
 
     /// Returns what a peer should know of crashes; `is_new` for one that has just started.
     fn crashes(&self, is_new: bool) -> Digest;
+
+    /// Learns of streams that a peer has begun.
+    fn learn_begun(&self, begun: &Segment);
+
+    /// Returns the streams that this process has begun lately.
+    fn begun(&self) -> Segment;
 }
 
 /// The JSON-RPC interface; messages are encoded as those of control calls.
@@ -187,14 +202,14 @@
         let (report, usage) = self.read_report(&report)?;
         let is_new = report.is_new();
         let (loads, usage) = self.source.report(report, usage).ok_or_else(invalid_report)?;
-        Ok(packet::encode(&Message { loads, crashes: self.source.crashes(is_new), usage }))
+        Ok(packet::encode(&self.message(loads, usage, is_new)))
     }
 
     async fn swap(&self, report: String) -> RpcResult<String> {
         let (report, usage) = self.read_report(&report)?;
         let is_new = report.is_new();
         let (loads, usage) = self.source.swap(report, usage).ok_or_else(invalid_report)?;
-        Ok(packet::encode(&Message { loads, crashes: self.source.crashes(is_new), usage }))
+        Ok(packet::encode(&self.message(loads, usage, is_new)))
     }
 }
 
@@ -204,10 +219,15 @@
 }
 
 impl Methods {
+    /// Returns a message with what any peer should know; `is_new` for one that has just started.
+    fn message<T, U>(&self, loads: T, usage: U, is_new: bool) -> Message<T, U> {
+        Message { loads, crashes: self.source.crashes(is_new), usage, begun: self.source.begun() }
+    }
+
     /// Decodes reports, checks their size, and learns of the crashes that come with them.
     fn read_report(&self, text: &str) -> RpcResult<(Report, rate_limit::Report)> {
         let message = Message::<Report, rate_limit::Report>::decode(text);
-        let Message { loads: report, crashes, usage } =
+        let Message { loads: report, crashes, usage, begun } =
             message.ok_or_else(|| limit::invalid("the argument can't be read"))?;
         let rows = report.own.len() + report.members.len();
         let rows = rows.max(usage.own.len() + usage.members.len());
@@ -220,7 +240,11 @@
         if !usage.own.is_valid() || !usage.members.is_valid() {
             return Err(limit::invalid("the rows of limited endpoints are not in order"));
         }
+        if !begun.is_valid() {
+            return Err(limit::invalid("the streams are too many"));
+        }
         self.source.learn_crashes(&crashes);
+        self.source.learn_begun(&begun);
         Ok((report, usage))
     }
 }
--- a/crates/rpc/src/view/client.rs
+++ b/crates/rpc/src/view/client.rs
@@ -125,7 +125,8 @@
         T: DeserializeOwned,
         U: DeserializeOwned + Default,
     {
-        let message = Message::decode(answer).filter(|message| message.crashes.is_valid());
+        let message = Message::decode(answer)
+            .filter(|message| message.crashes.is_valid() && message.begun.is_valid());
         message.ok_or_else(|| Error::Refused(self.peer, "its answer is malformed".to_owned()))
     }
 
--- a/crates/rpc/tests/view.rs
+++ b/crates/rpc/tests/view.rs
@@ -14,6 +14,8 @@
 use parking_lot::Mutex;
 use policy::exchange::Report;
 use policy::exchange::Sheet;
+use policy::origin::Row as StreamRow;
+use policy::origin::Segment;
 use policy::quarantine::Digest;
 use policy::quarantine::Suspect;
 use policy::rate_limit;
@@ -41,6 +43,7 @@
 #[derive(Default)]
 struct Script {
     learned: Mutex<Digest>,
+    begun: Mutex<Segment>,
 }
 
 impl Source for Script {
@@ -79,6 +82,14 @@
     fn crashes(&self, is_new: bool) -> Digest {
         if is_new { self.learned.lock().clone() } else { Digest::default() }
     }
+
+    fn learn_begun(&self, begun: &Segment) {
+        *self.begun.lock() = begun.clone();
+    }
+
+    fn begun(&self) -> Segment {
+        self.begun.lock().clone()
+    }
 }
 
 /// Returns a sheet whose rows are not in order, as only a broken peer sends it.
@@ -96,7 +107,12 @@
 
 fn message(vm: &str, rows: u32) -> Message<Report, rate_limit::Report> {
     let usage = rate_limit::Report::default();
-    Message { loads: report(vm, rows), crashes: Digest::default(), usage }
+    Message {
+        loads: report(vm, rows),
+        crashes: Digest::default(),
+        usage,
+        begun: Segment::default(),
+    }
 }
 
 /// Returns crashes of several endpoints by the same part of a prompt.
@@ -193,6 +209,40 @@
     stop.cancel();
 }
 
+/// Returns this many streams that began at one version.
+fn begun(streams: u32) -> Segment {
+    let (service, version) = ("model".to_owned(), "v1".to_owned());
+    Segment { rows: vec![StreamRow { service, version, streams: (0..streams).collect() }] }
+}
+
+#[tokio::test]
+async fn streams_are_told_both_ways_and_too_many_refused() {
+    let (client, stop) = connect().await;
+    let told = Message { begun: begun(3), ..message("valid", 1) };
+    let answer = client.report(&told, ANSWER_TIMEOUT).await;
+    assert_eq!(answer.map(|answer| answer.begun), Ok(begun(3)));
+    assert_eq!(client.swap(&told, ANSWER_TIMEOUT).await, Ok(told));
+    let too_many = Message { begun: begun(8_193), ..message("valid", 1) };
+    assert!(is_refused(&client.report(&too_many, MAX_WAIT).await));
+    assert!(is_refused(&client.swap(&too_many, MAX_WAIT).await));
+    stop.cancel();
+}
+
+#[tokio::test]
+async fn builds_without_streams_exchange_limits_with_this_one() {
+    let (address, stop) = serve().await;
+    let client = WsClientBuilder::default().build(format!("ws://{address}")).await;
+    let limits = rate_limit::Report { own: usage(0..3, 6.5), members: usage(0..3, 6.5) };
+    let sent = (report("valid", 2), crashes(4), limits);
+    let own = BASE64_STANDARD_NO_PAD.encode(postcard::to_stdvec(&sent).expect("bytes"));
+    let answer = ViewClient::report(&client.expect("a client"), own).await.expect("an answer");
+    let bytes = BASE64_STANDARD_NO_PAD.decode(answer).expect("bytes");
+    let (loads, told, limits): (Loads, Digest, Usage) =
+        postcard::from_bytes(&bytes).expect("an answer");
+    assert_eq!((loads.gateways, told, limits), (3, crashes(4), usage(0..3, 6.5)));
+    stop.cancel();
+}
+
 #[tokio::test]
 async fn builds_without_limits_exchange_crashes_with_this_one() {
     let (address, stop) = serve().await;
