Tell other gateways of a stream before its first event is sent

Cause: streams that began within the last quarter of a second were told nobody yet, and could not be stored.

Change: a gateway tells its hub, or two other hubs, of each stream while it is held back for the write of the store, in calls of their own that a slow store doesn't hold up. `a_stream_of_a_gateway_that_ends_at_once_during_an_outage_of_the_store_is_ unknown_elsewhere` has a store that takes no writes and a gateway that ends at once.

--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -52,8 +52,12 @@
     recorded: AtomicU64,
     /// Number of the last stream for which a write was tried.
     tried: watch::Sender<u64>,
+    /// Number of the last stream of which other gateways were told, or could not be.
+    told: watch::Sender<u64>,
     /// Signals that there is something to store.
     pub(crate) changed: Notify,
+    /// Signals that there is something to tell other gateways.
+    pub(crate) begun: Notify,
     /// Number of the last read that was asked for.
     pub(crate) wanted: watch::Sender<u64>,
     /// Result of the last read.
@@ -86,7 +90,9 @@
             stored_versions: Mutex::default(),
             recorded: AtomicU64::default(),
             tried: watch::Sender::default(),
+            told: watch::Sender::default(),
             changed: Notify::new(),
+            begun: Notify::new(),
             wanted: watch::Sender::default(),
             reading: watch::Sender::default(),
         }
@@ -103,7 +109,7 @@
     }
 
     /// Records the endpoint that sent the first event of a stream, and waits until that is stored
-    /// if the service has several versions.
+    /// and other gateways are told if the service has several versions.
     ///
     /// A stream that breaks off sooner has not begun for its client, which can begin it anew at any
     /// version. It waits no longer if the write fails, or doesn't end soon.
@@ -118,8 +124,13 @@
         }
         let number = self.recorded.fetch_add(1, Ordering::SeqCst) + 1;
         self.changed.notify_one();
-        let mut tried = self.tried.subscribe();
-        if timeout(HOLD_TIMEOUT, tried.wait_for(|tried| *tried >= number)).await.is_err() {
+        self.begun.notify_one();
+        let (mut tried, mut told) = (self.tried.subscribe(), self.told.subscribe());
+        let known = async {
+            let _ = tried.wait_for(|tried| *tried >= number).await;
+            let _ = told.wait_for(|told| *told >= number).await;
+        };
+        if timeout(HOLD_TIMEOUT, known).await.is_err() {
             log::debug!(endpoint = &*endpoint.id; "a stream is sent before its version is stored");
         }
     }
@@ -134,6 +145,11 @@
         self.tried.send_replace(number);
     }
 
+    /// Releases the streams up to a number, of which other gateways were told or could not be.
+    pub(crate) fn set_told(&self, number: u64) {
+        self.told.send_replace(number);
+    }
+
     /// Returns the version that began a stream of a service; `None` if that can't be found out
     /// before the deadline. `history` returns what the endpoints were read from, and the time.
     pub(crate) async fn find(
@@ -214,9 +230,9 @@
         self.others.lock().learn(begun, now);
     }
 
-    /// Returns the streams of which other gateways are told now.
-    pub(crate) fn told(&self, now: Duration) -> Segment {
-        self.ledger.lock().told(now)
+    /// Returns the streams that have begun since a time, of which other gateways are told.
+    pub(crate) fn begun_since(&self, since: Duration, now: Duration) -> Segment {
+        self.ledger.lock().begun_since(since, now)
     }
 
     /// Sets the versions that the store has of this gateway.
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -4,6 +4,7 @@
 //! at which peers can ask for them. `docs/decisions/relays.md` has the design, and
 //! `docs/decisions/platform.md` what happens while the store turns gateways away.
 
+mod connections;
 mod exchange;
 mod fetch;
 mod follower;
@@ -15,7 +16,9 @@
 mod restores;
 mod stored;
 mod streams;
+mod teller;
 
+pub(crate) use connections::Connections;
 pub(crate) use exchange::Exchange;
 pub(crate) use exchange::Own;
 pub(crate) use fetch::fetch;
@@ -26,3 +29,4 @@
 pub use peers::Peers;
 pub use registration::register;
 pub(crate) use restores::Restores;
+pub(crate) use teller::Teller;
--- a/crates/gateway/src/peer/loads.rs
+++ b/crates/gateway/src/peer/loads.rs
@@ -1,10 +1,8 @@
 //! Exchanges loads of endpoints with other gateways.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use parking_lot::Mutex;
 use policy::exchange::Report;
 use policy::origin::Segment;
 use policy::rate_limit;
@@ -12,12 +10,12 @@
 use policy::relay::Duty;
 use rand::RngExt;
 use rpc::Error;
-use rpc::view::Client;
 use rpc::view::Loads;
 use rpc::view::Message;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
+use crate::peer::Connections;
 use crate::peer::Member;
 use crate::peer::Peers;
 use crate::record;
@@ -37,7 +35,7 @@
 /// A gateway reports to the hub of its data centre, which adds up loads. Hubs exchange their sums
 /// with each other.
 pub async fn share_loads(peers: &Peers, cancel: CancellationToken) {
-    let sharing = Sharing { peers, connections: Mutex::default() };
+    let sharing = Sharing { peers, connections: Connections::new(ANSWER_TIMEOUT) };
     let exchange = async {
         // The first report is sent as soon as there is anyone to report to.
         while peers.hubs().is_empty() {
@@ -52,11 +50,10 @@
     cancel.run_until_cancelled(exchange).await;
 }
 
-/// The open connections to the gateways with which loads are exchanged.
+/// The exchange with other gateways.
 struct Sharing<'a> {
     peers: &'a Peers,
-    /// Sorted by VM.
-    connections: Mutex<Vec<(String, Arc<Client>)>>,
+    connections: Connections,
 }
 
 impl Sharing<'_> {
@@ -82,7 +79,7 @@
     /// Reports to a hub; returns the loads of all others.
     async fn report(&self, hub: &Member) -> Result<(Loads, Usage), Error> {
         let message = self.next_message(false);
-        let answer = self.client(hub).await?.report(&message, ANSWER_TIMEOUT).await?;
+        let answer = self.connections.client(hub).await?.report(&message, ANSWER_TIMEOUT).await?;
         self.peers.routing().learn_crashes(&answer.crashes);
         self.learn_begun(&answer.begun);
         Ok((answer.loads, answer.usage))
@@ -93,7 +90,8 @@
         let routing = self.peers.routing();
         let is_new = self.peers.exchange().is_new_hub(&hub.vm, routing.now());
         let message = self.next_message(is_new);
-        let swapped = async { self.client(hub).await?.swap(&message, ANSWER_TIMEOUT).await };
+        let swapped =
+            async { self.connections.client(hub).await?.swap(&message, ANSWER_TIMEOUT).await };
         match swapped.await {
             Ok(answer) => {
                 routing.learn_crashes(&answer.crashes);
@@ -111,7 +109,7 @@
         // Taken first, so that the locks of the routing aren't taken under that of the exchange.
         let (own, own_usage) = (routing.own_loads(), routing.own_usage());
         let (crashes, now) = (routing.crashes(is_new), routing.now());
-        let begun = routing.origins().told(now);
+        let begun = routing.origins().begun_since(Duration::ZERO, now);
         let mut exchange = self.peers.exchange();
         let usage = exchange.usage_report(own_usage, now);
         Message { loads: exchange.next_report(own, now), crashes, usage, begun }
@@ -131,30 +129,7 @@
 
     fn failed(&self, hub: &Member, error: &Error) {
         log::info!(peer = hub.vm.as_str(); "loads are not exchanged: {error}");
-        self.connections.lock().retain(|(vm, _)| *vm != hub.vm);
+        self.connections.remove(&hub.vm);
         self.peers.relay_failed(Duty::Loads, &hub.vm);
     }
-
-    /// Returns the open connection to a gateway, or opens one.
-    async fn client(&self, hub: &Member) -> Result<Arc<Client>, Error> {
-        let find = |connections: &[(String, Arc<Client>)]| {
-            connections.binary_search_by(|(vm, _)| vm.as_str().cmp(&hub.vm))
-        };
-        {
-            let mut connections = self.connections.lock();
-            if let Ok(index) = find(&connections) {
-                if connections[index].1.is_connected() {
-                    return Ok(Arc::clone(&connections[index].1));
-                }
-                connections.remove(index);
-            }
-        }
-        let client = Arc::new(Client::connect(hub.address, ANSWER_TIMEOUT).await?);
-        let mut connections = self.connections.lock();
-        match find(&connections) {
-            Ok(index) => connections[index].1 = Arc::clone(&client),
-            Err(index) => connections.insert(index, (hub.vm.clone(), Arc::clone(&client))),
-        }
-        Ok(client)
-    }
 }
--- a/crates/gateway/src/peer/peers.rs
+++ b/crates/gateway/src/peer/peers.rs
@@ -302,6 +302,6 @@
     }
 
     fn begun(&self) -> Segment {
-        self.routing.origins().told(self.routing.now())
+        self.routing.origins().begun_since(Duration::ZERO, self.routing.now())
     }
 }
--- a/crates/gateway/src/peer/streams.rs
+++ b/crates/gateway/src/peer/streams.rs
@@ -23,6 +23,7 @@
 use crate::origins::Stored;
 use crate::peer::Peers;
 use crate::peer::Restores;
+use crate::peer::Teller;
 
 /// Prefix of the keys. It is none of the registrations' keys, which each gateway reads regularly.
 const PREFIX: &str = "lycheeknot-streams/";
@@ -119,6 +120,20 @@
     }
 }
 
+/// Tells other gateways of the streams that this gateway begins, as often as it stores them. A store
+/// that is slow or away doesn't hold it up.
+pub(crate) async fn keep_told(peers: &Peers) {
+    let teller = Teller::new(peers);
+    let origins = peers.routing().origins();
+    loop {
+        origins.begun.notified().await;
+        let number = origins.recorded();
+        teller.tell().await;
+        origins.set_told(number);
+        sleep(write_interval(peers)).await;
+    }
+}
+
 /// Returns the interval between writes with which all gateways keep within what the store allows.
 fn write_interval(peers: &Peers) -> Duration {
     let gateways = f64::from(peers.routing().gateways().max(1));
--- a/crates/gateway/tests/sessions/versions.rs
+++ b/crates/gateway/tests/sessions/versions.rs
@@ -5,6 +5,7 @@
 use std::thread;
 use std::time::Duration;
 
+use gateway::Member;
 use gateway::Peers;
 use gateway::register;
 use rpc::view::Source;
@@ -289,6 +290,29 @@
     third.kill();
 }
 
+#[test]
+fn a_stream_of_a_gateway_that_ends_at_once_during_an_outage_of_the_store_is_unknown_elsewhere() {
+    let broken = vec![stream_start(), event(1), Step::Pause(30), Step::Close];
+    let scripts = vec![broken, rest()];
+    let old = [0, 1].map(|number| Endpoint::start(&format!("e{number}"), scripts.clone()));
+    let new = [5, 6].map(|number| Endpoint::start(&format!("e{number}"), scripts.clone()));
+    let store = Fake::default();
+    let members = [member("g1", 10), member("g2", 9)];
+    let [first, second] = [0, 1].map(|own| Gateway::start_among(&store, &old, &new, &members, own));
+    thread::sleep(Duration::from_millis(500));
+    store.is_read_only.store(true, Ordering::SeqCst);
+    let begun = Client::connect(first.fixture.address).exchange(&once("r1"));
+    assert!(begun.ends_with("(closed)\n"), "{begun}");
+    first.kill();
+    let seen = |endpoints: &[Endpoint]| endpoints.iter().map(|it| it.seen().len()).sum::<usize>();
+    let (of_old, of_new) = (seen(&old), seen(&new));
+    let response = Client::connect(second.fixture.address).exchange(&take_up("r2", "r1"));
+    assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
+    // At the version that had begun it.
+    assert_eq!((seen(&old) > of_old, seen(&new) > of_new), (of_old > 0, of_new > 0));
+    second.kill();
+}
+
 /// Lets a store come back from a copy with these keys.
 fn restore(store: &Fake, copy: Vec<Entry>) {
     *store.entries.lock() = copy;
@@ -305,15 +329,29 @@
 impl Gateway {
     /// Starts a gateway before endpoints of two versions, and waits until it has stored these.
     fn start(store: &Fake, old: &[Endpoint], new: &[Endpoint]) -> Gateway {
+        Gateway::start_among(store, old, new, &[member("g1", 10)], 0)
+    }
+
+    /// Starts the one of several gateways that is at this place of the members.
+    fn start_among(
+        store: &Fake,
+        old: &[Endpoint],
+        new: &[Endpoint],
+        members: &[Member],
+        own: usize,
+    ) -> Gateway {
         let fixture = Fixture::new("model", &old.iter().collect::<Vec<_>>());
         new.iter().for_each(|endpoint| fixture.announce("model", endpoint, "v2"));
         let (cancel, store) = (CancellationToken::new(), store.clone());
-        let peers = peers(&fixture.routing, &[member("g1", 10)], 0);
-        let (own, token) = (Arc::clone(&peers), cancel.clone());
+        let peers = peers(&fixture.routing, members, own);
+        let (address, known, token) = (members[own].address, Arc::clone(&peers), cancel.clone());
         thread::spawn(move || {
             let mut builder = Builder::new_current_thread();
             let runtime = builder.enable_all().build().expect("a runtime");
-            runtime.block_on(register(&store, &own, token));
+            runtime.block_on(async {
+                let served = rpc::view::serve(address, Arc::clone(&known) as _, token.clone());
+                tokio::join!(register(&store, &known, token), served)
+            });
         });
         thread::sleep(Duration::from_millis(300));
         Gateway { fixture, peers, cancel }
--- a/crates/policy/src/origin/ledger.rs
+++ b/crates/policy/src/origin/ledger.rs
@@ -19,7 +19,7 @@
 
 /// How long a stream is told to other gateways again and again: four of their exchanges, so that
 /// some of them may fail.
-const TOLD_TIME: Duration = Duration::from_millis(1_100);
+pub const TOLD_TIME: Duration = Duration::from_millis(1_100);
 
 /// Most streams that are told at a time.
 const MAX_TOLD: usize = 2_048;
@@ -74,11 +74,12 @@
         }
     }
 
-    /// Returns the streams of services with several versions of which other gateways are told now.
-    pub fn told(&self, now: Duration) -> Segment {
+    /// Returns the streams of services with several versions that have begun since a time, at most
+    /// [`TOLD_TIME`] ago. Other gateways are told of them.
+    pub fn begun_since(&self, since: Duration, now: Duration) -> Segment {
         let mut segment = Segment::default();
-        let is_told = |at: Duration| now.saturating_sub(at) < TOLD_TIME;
-        let told = self.untold.iter().rev().filter(|(at, _)| is_told(*at)).take(MAX_TOLD);
+        let since = since.max(now.saturating_sub(TOLD_TIME));
+        let told = self.untold.iter().rev().filter(|(at, _)| *at >= since).take(MAX_TOLD);
         for (_, Stream { service, version, id }) in told {
             if self.is_mixed(service, now) {
                 segment.add(service, version, *id);
@@ -165,7 +166,7 @@
         let oldest = number(now).saturating_sub(SEGMENTS - 1);
         self.segments.retain(|(number, _)| *number >= oldest);
         self.versions.retain(|(_, _, at)| !is_over(*at, now));
-        self.untold.retain(|(at, _)| now.saturating_sub(*at) < TOLD_TIME);
+        self.untold.retain(|(at, _)| now.saturating_sub(*at) <= TOLD_TIME);
     }
 }
 
--- a/crates/policy/tests/origin.rs
+++ b/crates/policy/tests/origin.rs
@@ -178,7 +178,8 @@
 fn other_gateways_are_told_of_no_stream_of_a_mixed_service_or_only_once() {
     let mut ledger = Ledger::default();
     let streams = |ledger: &Ledger, millis| {
-        let segment = ledger.told(Duration::from_millis(millis));
+        let now = Duration::from_millis(millis);
+        let segment = ledger.begun_since(Duration::ZERO, now);
         segment.rows.into_iter().flat_map(|row| row.streams).collect::<Vec<StreamId>>()
     };
     ledger.record("model", "v1", 5, at(2));
@@ -191,6 +192,9 @@
     assert_eq!(streams(&ledger, 21_050), [5, 6]);
     assert_eq!(streams(&ledger, 21_200), [6]);
     assert!(streams(&ledger, 22_200).is_empty());
+    ledger.record("model", "v2", 7, Duration::from_millis(22_300));
+    let begun = ledger.begun_since(Duration::from_millis(22_301), Duration::from_millis(22_400));
+    assert_eq!(begun, Segment::default());
 }
 
 #[test]
@@ -199,7 +203,7 @@
     ledger.announce("model", "v1", at(1));
     ledger.record("model", "v2", 6, at(2));
     for _ in 0..5 {
-        other.learn(&ledger.told(at(2)), at(2));
+        other.learn(&ledger.begun_since(at(0), at(2)), at(2));
     }
     assert_eq!(other.find("model", 6), Some("v2"));
     let streams = other.segments(at(2)).flat_map(|(_, segment)| &segment.rows);
--- a/crates/rpc/src/view.rs
+++ b/crates/rpc/src/view.rs
@@ -174,6 +174,10 @@
     /// Returns the encoded [`Report`] of the called process for that of the caller.
     #[method(name = "swap")]
     async fn swap(&self, report: String) -> RpcResult<String>;
+
+    /// Takes an encoded [`Segment`] of streams that the caller has begun.
+    #[method(name = "begun")]
+    async fn begun(&self, streams: String) -> RpcResult<()>;
 }
 
 /// Implements the interface with a source.
@@ -211,6 +215,18 @@
         let (loads, usage) = self.source.swap(report, usage).ok_or_else(invalid_report)?;
         Ok(packet::encode(&self.message(loads, usage, is_new)))
     }
+
+    async fn begun(&self, streams: String) -> RpcResult<()> {
+        let begun: Segment = read(&streams)?;
+        check_begun(&begun)?;
+        self.source.learn_begun(&begun);
+        Ok(())
+    }
+}
+
+/// Checks streams that a peer has begun.
+fn check_begun(begun: &Segment) -> RpcResult<()> {
+    begun.is_valid().then_some(()).ok_or_else(|| limit::invalid("the streams are too many"))
 }
 
 /// Decodes an argument.
@@ -240,9 +256,7 @@
         if !usage.own.is_valid() || !usage.members.is_valid() {
             return Err(limit::invalid("the rows of limited endpoints are not in order"));
         }
-        if !begun.is_valid() {
-            return Err(limit::invalid("the streams are too many"));
-        }
+        check_begun(&begun)?;
         self.source.learn_crashes(&crashes);
         self.source.learn_begun(&begun);
         Ok((report, usage))
--- a/crates/rpc/src/view/client.rs
+++ b/crates/rpc/src/view/client.rs
@@ -6,6 +6,7 @@
 use jsonrpsee::core::ClientError;
 use jsonrpsee::ws_client::WsClient;
 use policy::exchange::Report;
+use policy::origin::Segment;
 use policy::rate_limit;
 use policy::rate_limit::Usage;
 use serde::de::DeserializeOwned;
@@ -119,6 +120,17 @@
         Ok(message)
     }
 
+    /// Tells the peer of streams that this process has begun. The caller limits the time.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unreachable`] if the peer can't be reached, and [`Error::Refused`] if it refused the
+    /// call, as builds without it do.
+    pub async fn begun(&self, streams: &Segment) -> Result<(), Error> {
+        let called = self.client.begun(packet::encode(streams)).await;
+        called.map_err(|error| pool::into_error(self.peer, error))
+    }
+
     /// Decodes a message of the exchange of loads.
     fn message<T, U>(&self, answer: &str) -> Result<Message<T, U>, Error>
     where
--- a/crates/rpc/tests/view.rs
+++ b/crates/rpc/tests/view.rs
@@ -222,6 +222,8 @@
     let answer = client.report(&told, ANSWER_TIMEOUT).await;
     assert_eq!(answer.map(|answer| answer.begun), Ok(begun(3)));
     assert_eq!(client.swap(&told, ANSWER_TIMEOUT).await, Ok(told));
+    assert_eq!(client.begun(&begun(5)).await, Ok(()));
+    assert!(client.begun(&begun(8_193)).await.is_err());
     let too_many = Message { begun: begun(8_193), ..message("valid", 1) };
     assert!(is_refused(&client.report(&too_many, MAX_WAIT).await));
     assert!(is_refused(&client.swap(&too_many, MAX_WAIT).await));
