--- a/crates/gateway/tests/sessions/crashes.rs
+++ b/crates/gateway/tests/sessions/crashes.rs
@@ -125,6 +125,37 @@
     }
 }
 
+#[test]
+fn sound_requests_are_refused_with_one_that_crashes_endpoints_and_shares_its_prompt() {
+    // The same request comes again at any moment, between sound ones with all of its parts.
+    for sound_between in [1, 2] {
+        let endpoints: Vec<Endpoint> = (0..12)
+            .map(|number| Endpoint::start_fragile_to(&format!("e{number}"), "bad"))
+            .collect();
+        let fixture = Fixture::new("model", &endpoints.iter().collect::<Vec<_>>());
+        let stream = |body: &str| {
+            let length = body.len();
+            Client::connect(fixture.address).exchange(&format!(
+                "POST /once/1 HTTP/1.1\r\n{REQUEST_HEADERS}X-Prefix-Hash: aa:10,bb:10\r\nContent-Length: {length}\r\n\r\n{body}"
+            ))
+        };
+        for number in 0..8 {
+            stream("bad");
+            await_crashes(&endpoints);
+            thread::sleep(Duration::from_millis(100));
+            for other in 0..sound_between {
+                let sound = stream(&format!("{number}-{other}"));
+                assert!(sound.ends_with("\n0\n\n"), "{sound}");
+            }
+        }
+        let crashed = endpoints.iter().filter(|endpoint| endpoint.has_crashed()).count();
+        assert!(crashed <= MAX_CRASHES_BY_ONE, "{crashed} endpoints crashed");
+        let response = stream("bad");
+        assert!(response.starts_with("HTTP/1.1 503 "), "{response}");
+        assert!(response.contains("retry-after: "), "{response}");
+    }
+}
+
 #[test]
 fn a_request_without_a_prompt_is_refused_by_gateways_that_saw_too_few_crashes_each() {
     let endpoints: Vec<Endpoint> =
