Name replication of streams by the field's terms, and split its files

Reading the change as a newcomer: a Teller that tells is a Replicator that replicates; what others were told are replicas. Decoding of journals and the history of the store have files of their own.

--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -19,6 +19,7 @@
 use crate::criteria::Criteria;
 use crate::demands::Demands;
 use crate::ejections::Ejections;
+use crate::history::History;
 use crate::quarantine::start_id;
 use crate::record;
 use crate::removed::Removed;
@@ -38,17 +39,6 @@
 /// which takes some milliseconds.
 const COPY_MIN_TOKENS: u32 = 512;
 
-/// A history of the store; it begins another one whenever it comes back from a copy.
-#[derive(Debug, Clone, Copy, Default)]
-pub(crate) struct History {
-    /// Number of restores before it.
-    pub(crate) restores: u64,
-    /// Time at which the endpoints were first read from it.
-    pub(crate) since: Duration,
-    /// Whether the endpoints were read from no history before it.
-    pub(crate) is_first: bool,
-}
-
 /// The known endpoints, their occupancy and outlier ejection.
 #[derive(Debug)]
 pub(crate) struct Endpoints {
@@ -147,9 +137,7 @@
             let gone = self.endpoints.extract_if(.., |tracked| !is_announced(tracked));
             gone.for_each(|tracked| self.removed.add(tracked.endpoint, now));
         }
-        if !self.is_loaded || self.is_restored(restores) {
-            self.history = History { restores, since: now, is_first: !self.is_loaded };
-        }
+        self.history.advance(restores, !self.is_loaded, now);
         for endpoint in announced {
             self.put(endpoint);
         }
@@ -169,9 +157,7 @@
             return self.remove_now(id, now);
         }
         let until = self.grace_until.min(now + REMOVAL_TIMEOUT);
-        self.update(id, |tracked| {
-            tracked.missing_until = Some(tracked.missing_until.map_or(until, |it| it.min(until)));
-        });
+        self.update(id, |tracked| tracked.set_missing(until));
     }
 
     /// Removes endpoints that did not announce themselves again in time.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -83,10 +83,9 @@
     if request.metadata.last_event.is_none() || !request.is_resumable() {
         return Ok(None);
     }
-    let stream = request.stream_id().ok_or(Refusal::UnknownVersion)?;
     let routing = &worker.context.routing;
-    let version = routing.find_version(&request.service, stream, request.deadline).await;
-    version.map(Some).ok_or(Refusal::UnknownVersion)
+    let version = routing.find_version(&request.service, request.stream_id(), request.deadline);
+    version.await.map(Some).ok_or(Refusal::UnknownVersion)
 }
 
 /// Sends a request to one endpoint after the other until one responds or no more may be tried.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod forward;
 mod framing;
 mod headers;
+mod history;
 mod in_flight;
 mod notice;
 mod origins;
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -21,7 +21,7 @@
 use tokio::time::timeout;
 use tokio::time::timeout_at;
 
-use crate::endpoints::History;
+use crate::history::History;
 use crate::record;
 
 /// Longest time for which a request to resume a stream waits until the version that began it is
@@ -43,21 +43,21 @@
 #[derive(Debug)]
 pub(crate) struct Origins {
     ledger: Mutex<Ledger>,
-    /// Streams that other gateways have told this one they began, which a store that comes back from a
-    /// copy may lack.
-    others: Mutex<Ledger>,
+    /// Streams that other gateways have replicated here. A store that comes back from a copy may lack
+    /// them.
+    replicas: Mutex<Ledger>,
     /// Versions that the store has of this gateway, sorted by service and version.
     stored_versions: Mutex<Arc<Vec<(String, String)>>>,
     /// Number of the last stream that was recorded.
     recorded: AtomicU64,
     /// Number of the last stream for which a write was tried.
     tried: watch::Sender<u64>,
-    /// Number of the last stream of which other gateways were told, or could not be.
-    told: watch::Sender<u64>,
+    /// Number of the last stream for which replication was tried.
+    replicated: watch::Sender<u64>,
     /// Signals that there is something to store.
     pub(crate) changed: Notify,
-    /// Signals that there is something to tell other gateways.
-    pub(crate) begun: Notify,
+    /// Signals that there is something to replicate.
+    pub(crate) has_recent: Notify,
     /// Number of the last read that was asked for.
     pub(crate) wanted: watch::Sender<u64>,
     /// Result of the last read.
@@ -86,13 +86,13 @@
     fn default() -> Origins {
         Origins {
             ledger: Mutex::default(),
-            others: Mutex::default(),
+            replicas: Mutex::default(),
             stored_versions: Mutex::default(),
             recorded: AtomicU64::default(),
             tried: watch::Sender::default(),
-            told: watch::Sender::default(),
+            replicated: watch::Sender::default(),
             changed: Notify::new(),
-            begun: Notify::new(),
+            has_recent: Notify::new(),
             wanted: watch::Sender::default(),
             reading: watch::Sender::default(),
         }
@@ -109,7 +109,7 @@
     }
 
     /// Records the endpoint that sent the first event of a stream, and waits until that is stored
-    /// and other gateways are told if the service has several versions.
+    /// and replicated if the service has several versions.
     ///
     /// A stream that breaks off sooner has not begun for its client, which can begin it anew at any
     /// version. It waits no longer if the write fails, or doesn't end soon.
@@ -124,11 +124,11 @@
         }
         let number = self.recorded.fetch_add(1, Ordering::SeqCst) + 1;
         self.changed.notify_one();
-        self.begun.notify_one();
-        let (mut tried, mut told) = (self.tried.subscribe(), self.told.subscribe());
+        self.has_recent.notify_one();
+        let (mut tried, mut replicated) = (self.tried.subscribe(), self.replicated.subscribe());
         let known = async {
             let _ = tried.wait_for(|tried| *tried >= number).await;
-            let _ = told.wait_for(|told| *told >= number).await;
+            let _ = replicated.wait_for(|replicated| *replicated >= number).await;
         };
         if timeout(HOLD_TIMEOUT, known).await.is_err() {
             log::debug!(endpoint = &*endpoint.id; "a stream is sent before its version is stored");
@@ -145,25 +145,25 @@
         self.tried.send_replace(number);
     }
 
-    /// Releases the streams up to a number, of which other gateways were told or could not be.
-    pub(crate) fn set_told(&self, number: u64) {
-        self.told.send_replace(number);
+    /// Releases the streams up to a number, for which replication was tried.
+    pub(crate) fn set_replicated(&self, number: u64) {
+        self.replicated.send_replace(number);
     }
 
-    /// Returns the version that began a stream of a service; `None` if that can't be found out
-    /// before the deadline. `history` returns what the endpoints were read from, and the time.
+    /// Returns the version that began a stream of a service, which may have no id; `None` if that can't
+    /// be found out before the deadline. `history` returns what the endpoints were read from, and the time.
     pub(crate) async fn find(
         &self,
         service: &str,
-        stream: StreamId,
+        stream: Option<StreamId>,
         deadline: Instant,
         history: impl Fn() -> (History, Duration),
     ) -> Option<Arc<str>> {
-        if let Some(version) = self.ledger.lock().find(service, stream) {
-            return Some(Arc::from(version));
-        }
-        if let Some(version) = self.others.lock().find(service, stream) {
-            return Some(Arc::from(version));
+        for ledger in [&self.ledger, &self.replicas] {
+            let ledger = ledger.lock();
+            if let Some(version) = stream.and_then(|stream| ledger.find(service, stream)) {
+                return Some(Arc::from(version));
+            }
         }
         let deadline = deadline.min(Instant::now() + FIND_TIMEOUT);
         loop {
@@ -219,20 +219,20 @@
         (ledger.versions(now), ledger.mixed_segments(now))
     }
 
-    /// Returns the streams of other gateways that this one knows, with their places in a ring.
-    pub(crate) fn others_to_store(&self, now: Duration) -> Vec<(u64, Segment)> {
-        let others = self.others.lock();
-        others.segments(now).map(|(place, segment)| (place, segment.clone())).collect()
+    /// Returns the replicated streams of other gateways, with their places in a ring.
+    pub(crate) fn replicas_to_store(&self, now: Duration) -> Vec<(u64, Segment)> {
+        let replicas = self.replicas.lock();
+        replicas.segments(now).map(|(place, segment)| (place, segment.clone())).collect()
     }
 
-    /// Learns of streams that another gateway has begun.
-    pub(crate) fn learn(&self, begun: &Segment, now: Duration) {
-        self.others.lock().learn(begun, now);
+    /// Records streams that another gateway has replicated.
+    pub(crate) fn learn(&self, streams: &Segment, now: Duration) {
+        self.replicas.lock().learn(streams, now);
     }
 
-    /// Returns the streams that have begun since a time, of which other gateways are told.
-    pub(crate) fn begun_since(&self, since: Duration, now: Duration) -> Segment {
-        self.ledger.lock().begun_since(since, now)
+    /// Returns the streams that began since a time and are to be replicated.
+    pub(crate) fn recent_since(&self, since: Duration, now: Duration) -> Segment {
+        self.ledger.lock().recent_since(since, now)
     }
 
     /// Sets the versions that the store has of this gateway.
--- a/crates/gateway/src/peer/loads.rs
+++ b/crates/gateway/src/peer/loads.rs
@@ -81,7 +81,7 @@
         let message = self.next_message(false);
         let answer = self.connections.client(hub).await?.report(&message, ANSWER_TIMEOUT).await?;
         self.peers.routing().learn_crashes(&answer.crashes);
-        self.learn_begun(&answer.begun);
+        self.learn_streams(&answer.streams);
         Ok((answer.loads, answer.usage))
     }
 
@@ -95,7 +95,7 @@
         match swapped.await {
             Ok(answer) => {
                 routing.learn_crashes(&answer.crashes);
-                self.learn_begun(&answer.begun);
+                self.learn_streams(&answer.streams);
                 self.peers.exchange().record_hub(answer.loads, answer.usage, routing.now());
             }
             Err(error) => self.failed(hub, &error),
@@ -109,15 +109,15 @@
         // Taken first, so that the locks of the routing aren't taken under that of the exchange.
         let (own, own_usage) = (routing.own_loads(), routing.own_usage());
         let (crashes, now) = (routing.crashes(is_new), routing.now());
-        let begun = routing.origins().begun_since(Duration::ZERO, now);
+        let streams = routing.origins().recent_since(Duration::ZERO, now);
         let mut exchange = self.peers.exchange();
         let usage = exchange.usage_report(own_usage, now);
-        Message { loads: exchange.next_report(own, now), crashes, usage, begun }
+        Message { loads: exchange.next_report(own, now), crashes, usage, streams }
     }
 
-    fn learn_begun(&self, begun: &Segment) {
+    fn learn_streams(&self, streams: &Segment) {
         let routing = self.peers.routing();
-        routing.origins().learn(begun, routing.now());
+        routing.origins().learn(streams, routing.now());
     }
 
     /// Uses the requests of the other gateways for the choice of endpoints.
--- a/crates/gateway/src/peer/peers.rs
+++ b/crates/gateway/src/peer/peers.rs
@@ -297,11 +297,11 @@
         self.routing.crashes(is_new)
     }
 
-    fn learn_begun(&self, begun: &Segment) {
-        self.routing.origins().learn(begun, self.routing.now());
+    fn learn_streams(&self, streams: &Segment) {
+        self.routing.origins().learn(streams, self.routing.now());
     }
 
-    fn begun(&self) -> Segment {
-        self.routing.origins().begun_since(Duration::ZERO, self.routing.now())
+    fn streams(&self) -> Segment {
+        self.routing.origins().recent_since(Duration::ZERO, self.routing.now())
     }
 }
--- a/crates/gateway/src/peer/registration.rs
+++ b/crates/gateway/src/peer/registration.rs
@@ -65,7 +65,7 @@
             stored::keep_written(store, peers),
             streams::keep_written(store, peers),
             streams::keep_read(store, peers),
-            streams::keep_told(peers),
+            streams::keep_replicated(peers),
         )
     };
     cancel.run_until_cancelled(all).await;
--- a/crates/gateway/src/peer/streams.rs
+++ b/crates/gateway/src/peer/streams.rs
@@ -4,12 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use policy::origin::Journal;
 use policy::origin::Segment;
 use rand::RngExt;
 use services::Store;
 use services::store::Commit;
-use services::store::Entry;
 use services::store::Error;
 use services::store::Lease;
 use services::store::Outcome;
@@ -20,13 +18,11 @@
 use tokio::time::timeout;
 
 use crate::origins::Reading;
-use crate::origins::Stored;
 use crate::peer::Peers;
+use crate::peer::Replicator;
 use crate::peer::Restores;
-use crate::peer::Teller;
-
-/// Prefix of the keys. It is none of the registrations' keys, which each gateway reads regularly.
-const PREFIX: &str = "lycheeknot-streams/";
+use crate::peer::journals;
+use crate::peer::journals::PREFIX;
 
 /// Time to live of what a process stores, in seconds. After its end it is kept for longer than
 /// clients take to come back for a stream.
@@ -35,9 +31,9 @@
 /// Interval between renewals of the lease. One may fail.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(20);
 
-/// Time after a restore of the store for which the streams of other gateways are stored as well:
-/// longer than clients take to come back for them.
-const OTHERS_TIME: Duration = Duration::from_secs(60);
+/// Time after a restore of the store for which replicated streams are stored as well: longer than
+/// clients take to come back for them.
+const REPLICAS_TIME: Duration = Duration::from_secs(60);
 
 /// Interval between checks for versions that are no longer in use.
 const IDLE_INTERVAL: Duration = Duration::from_secs(1);
@@ -62,7 +58,7 @@
     while wanted.changed().await.is_ok() {
         let number = *wanted.borrow_and_update();
         let stored = match timeout(READ_TIMEOUT, store.list(PREFIX)).await {
-            Ok(Ok(entries)) => Some(Arc::new(decode_all(&entries))),
+            Ok(Ok(entries)) => Some(Arc::new(journals::decode(&entries))),
             Ok(Err(error)) => {
                 log::warn!("the streams of other gateways can't be read: {error}");
                 None
@@ -101,14 +97,14 @@
         routing.origins().announce(&routing.endpoints(), routing.now());
         let number = routing.origins().recorded();
         let (versions, segments) = routing.origins().to_store(routing.now());
-        let others = match writer.is_restored(routing.now()) {
-            true => routing.origins().others_to_store(routing.now()),
+        let replicas = match writer.is_restored(routing.now()) {
+            true => routing.origins().replicas_to_store(routing.now()),
             false => Vec::new(),
         };
         if versions.rows.is_empty() {
             continue;
         }
-        match writer.write(&versions, &segments, &others).await {
+        match writer.write(&versions, &segments, &replicas).await {
             Ok(history) => {
                 writer.set_restores(history, routing.now());
                 routing.origins().set_stored_versions(&versions);
@@ -120,16 +116,16 @@
     }
 }
 
-/// Tells other gateways of the streams that this gateway begins, as often as it stores them. A store
-/// that is slow or away doesn't hold it up.
-pub(crate) async fn keep_told(peers: &Peers) {
-    let teller = Teller::new(peers);
+/// Replicates the streams that this gateway begins, as often as it stores them. A slow store doesn't
+/// delay that.
+pub(crate) async fn keep_replicated(peers: &Peers) {
+    let replicator = Replicator::new(peers);
     let origins = peers.routing().origins();
     loop {
-        origins.begun.notified().await;
+        origins.has_recent.notified().await;
         let number = origins.recorded();
-        teller.tell().await;
-        origins.set_told(number);
+        replicator.replicate().await;
+        origins.set_replicated(number);
         sleep(write_interval(peers)).await;
     }
 }
@@ -170,7 +166,7 @@
     /// Whether the store has come back from a copy lately, and may lack streams of gateways that have
     /// ended since.
     fn is_restored(&self, now: Duration) -> bool {
-        self.restored.is_some_and(|at| now.saturating_sub(at) < OTHERS_TIME)
+        self.restored.is_some_and(|at| now.saturating_sub(at) < REPLICAS_TIME)
     }
 
     /// Forgets what was written, so that all of it is written again under another lease.
@@ -185,7 +181,7 @@
         &mut self,
         versions: &Segment,
         segments: &[(u64, Segment)],
-        others: &[(u64, Segment)],
+        replicas: &[(u64, Segment)],
     ) -> Result<u64, Error> {
         let lease = self.lease().await?;
         let prefix = format!("{}.{}/", self.process, self.restores);
@@ -193,8 +189,8 @@
         for (place, segment) in segments {
             current.push((format!("{prefix}{place}"), encode(segment)?));
         }
-        for (place, segment) in others {
-            current.push((format!("{prefix}others-{place}"), encode(segment)?));
+        for (place, segment) in replicas {
+            current.push((format!("{prefix}replica-{place}"), encode(segment)?));
         }
         let is_new = |row: &&(String, Vec<u8>)| !self.written.contains(row);
         let puts = current.iter().filter(is_new).map(|(key, value)| Put {
@@ -244,73 +240,3 @@
     postcard::to_stdvec(segment)
         .map_err(|error| Error::Protocol(format!("a segment of streams can't be encoded: {error}")))
 }
-
-/// Decodes what all gateways have stored. Keys of another form are left out.
-fn decode_all(entries: &[Entry]) -> Stored {
-    let restores = entries.iter().map(|entry| version::restores(entry.version)).max();
-    let restores = restores.unwrap_or_default();
-    // Sorted by process.
-    let mut processes: Vec<Process<'_>> = Vec::new();
-    for entry in entries {
-        let Some(place) = Place::parse(&entry.key) else { continue };
-        let find = |process: &Process<'_>| process.name.cmp(place.process);
-        let index = processes.binary_search_by(find).unwrap_or_else(|index| {
-            processes.insert(index, Process { name: place.process, ..Process::default() });
-            index
-        });
-        let process = &mut processes[index];
-        process.is_current |= place.restores == Some(restores);
-        match decode(entry) {
-            Some(segment) => process.segments.push(segment),
-            None => process.is_malformed = true,
-        }
-    }
-    Stored { restores, journals: processes.into_iter().map(Process::into_journal).collect() }
-}
-
-/// What the keys of one process hold.
-#[derive(Default)]
-struct Process<'a> {
-    name: &'a str,
-    /// Whether it has written in the present history of the store. It writes all anew then.
-    is_current: bool,
-    is_malformed: bool,
-    segments: Vec<Segment>,
-}
-
-impl Process<'_> {
-    fn into_journal(self) -> Journal {
-        let is_complete = self.is_current && !self.is_malformed;
-        Journal { is_complete, segments: self.segments }
-    }
-}
-
-/// The parts of a key.
-struct Place<'a> {
-    process: &'a str,
-    /// Number of restores of the store before it was written; `None` if another build wrote it.
-    restores: Option<u64>,
-}
-
-impl Place<'_> {
-    /// Parses a key; `None` if it is none of a segment.
-    fn parse(key: &str) -> Option<Place<'_>> {
-        let (process, _) = key.strip_prefix(PREFIX)?.rsplit_once('/')?;
-        let with_restores = process.rsplit_once('.');
-        let parsed =
-            with_restores.and_then(|(process, number)| Some((process, number.parse().ok()?)));
-        Some(match parsed {
-            Some((process, restores)) => Place { process, restores: Some(restores) },
-            None => Place { process, restores: None },
-        })
-    }
-}
-
-/// Decodes a stored segment; `None` if it is malformed.
-fn decode(entry: &Entry) -> Option<Segment> {
-    let decoded = postcard::from_bytes(&entry.value);
-    let log = |error: &postcard::Error| {
-        log::warn!(key = entry.key.as_str(); "a segment of streams is malformed: {error}");
-    };
-    decoded.inspect_err(log).ok()
-}
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -139,7 +139,7 @@
     pub(crate) async fn find_version(
         &self,
         service: &str,
-        stream: StreamId,
+        stream: Option<StreamId>,
         deadline: tokio::time::Instant,
     ) -> Option<Arc<str>> {
         let history = || (self.endpoints.lock().history(), self.now());
--- a/crates/gateway/src/tracked.rs
+++ b/crates/gateway/src/tracked.rs
@@ -41,6 +41,11 @@
         }
     }
 
+    /// Records that its announcement is missing, and that it is removed at a time unless it is sooner.
+    pub(crate) fn set_missing(&mut self, until: Duration) {
+        self.missing_until = Some(self.missing_until.map_or(until, |known| known.min(until)));
+    }
+
     /// Whether it would process another request at once, as far as it announces that.
     pub(crate) fn has_free_slot(&self, now: Duration) -> bool {
         let slots = self.endpoint.slots.map_or(f64::INFINITY, f64::from);
--- a/crates/gateway/tests/sessions/versions.rs
+++ b/crates/gateway/tests/sessions/versions.rs
@@ -253,7 +253,7 @@
 }
 
 #[test]
-fn a_stream_that_other_gateways_were_told_of_is_unknown_after_a_restore_of_the_store() {
+fn a_replicated_stream_is_unknown_after_a_restore_of_the_store() {
     let broken = vec![stream_start(), event(1), Step::Pause(30), Step::Close];
     let old = [0, 1].map(|number| Endpoint::start(&format!("e{number}"), vec![rest()]));
     let scripts = vec![broken, rest()];
@@ -271,7 +271,7 @@
         response.ends_with("(closed)\n")
     };
     let begun = (0..40).find(begin).expect("a stream of the new version");
-    second.peers.learn_begun(&first.peers.begun());
+    second.peers.learn_streams(&first.peers.streams());
     first.kill();
     restore(&store, copy);
     let seen = old.each_ref().map(|endpoint| endpoint.seen().len());
@@ -282,7 +282,7 @@
         assert_eq!(old.each_ref().map(|endpoint| endpoint.seen().len()), seen);
     };
     check(&second, "s1");
-    // It has written what it was told, so a third one reads that.
+    // It has stored the replica, which a third gateway reads.
     thread::sleep(Duration::from_millis(1_500));
     let third = Gateway::start(&store, &old, &new);
     check(&third, "s2");
@@ -350,7 +350,8 @@
             let runtime = builder.enable_all().build().expect("a runtime");
             runtime.block_on(async {
                 let served = rpc::view::serve(address, Arc::clone(&known) as _, token.clone());
-                tokio::join!(register(&store, &known, token), served)
+                let ((), served) = tokio::join!(register(&store, &known, token), served);
+                served.expect("a server of peers");
             });
         });
         thread::sleep(Duration::from_millis(300));
--- a/crates/policy/src/origin.rs
+++ b/crates/policy/src/origin.rs
@@ -53,14 +53,16 @@
 ///
 /// If all of them know the same version only, it began the stream, whether it was stored or not. If
 /// they know several, those that know more than one have stored each stream, so one that isn't stored
-/// began at a gateway that knew a single version.
+/// began at a gateway that knew a single version. A stream without an id is known only in the first
+/// case.
 pub fn resolve<'a>(
     journals: &'a [Journal],
     outlook: &'a Outlook,
     service: &str,
-    stream: StreamId,
+    stream: Option<StreamId>,
 ) -> Origin<'a> {
-    if let Some(version) = journals.iter().find_map(|journal| journal.find(service, stream)) {
+    let find = |stream| journals.iter().find_map(|journal| journal.find(service, stream));
+    if let Some(version) = stream.and_then(find) {
         return Origin::Version(version);
     }
     let is_complete = journals.iter().all(|journal| journal.is_complete);
@@ -76,7 +78,7 @@
         return Origin::Version(version);
     }
     let has_all_journals = outlook.is_first || outlook.age >= LOST_JOURNALS_TIME;
-    if !is_complete || !has_all_journals {
+    if stream.is_none() || !is_complete || !has_all_journals {
         return Origin::Unknown;
     }
     let single = journals.iter().filter_map(|journal| journal.single_version(service));
--- a/crates/policy/src/origin/ledger.rs
+++ b/crates/policy/src/origin/ledger.rs
@@ -17,12 +17,12 @@
 /// until a client has come back for it.
 const SEGMENTS: u64 = 8;
 
-/// How long a stream is told to other gateways again and again: four of their exchanges, so that
-/// some of them may fail.
-pub const TOLD_TIME: Duration = Duration::from_millis(1_100);
+/// How long a new stream is replicated to other gateways: four of their exchanges, so that some of
+/// them may fail.
+const REPLICATION_TIME: Duration = Duration::from_millis(1_100);
 
-/// Most streams that are told at a time.
-const MAX_TOLD: usize = 2_048;
+/// Most streams that are replicated at a time.
+const MAX_REPLICATED: usize = 2_048;
 
 /// The versions that were announced lately, and the streams that this gateway has begun.
 #[derive(Debug, Clone, Default)]
@@ -31,9 +31,8 @@
     versions: Vec<(String, String, Duration)>,
     /// With their numbers, the oldest one first.
     segments: Vec<(u64, Segment)>,
-    /// Streams that other gateways may not have been told yet, with the time since when they are told,
-    /// in that order.
-    untold: Vec<(Duration, Stream)>,
+    /// Streams that are being replicated, with the time at which that began, in that order.
+    recent: Vec<(Duration, Stream)>,
 }
 
 /// A stream of a version of a service.
@@ -56,31 +55,31 @@
                 let was_mixed = self.is_mixed(service, now);
                 self.versions.insert(index, (service.to_owned(), version.to_owned(), now));
                 if !was_mixed && self.is_mixed(service, now) {
-                    self.tell_all(service, now);
+                    self.replicate_all(service, now);
                 }
             }
         }
     }
 
-    /// Tells other gateways of all streams of a service: until now all had the same version.
-    fn tell_all(&mut self, service: &str, now: Duration) {
+    /// Replicates all streams of a service, which until now had a single version.
+    fn replicate_all(&mut self, service: &str, now: Duration) {
         let rows = self.segments.iter().flat_map(|(_, segment)| &segment.rows);
         for row in rows.filter(|row| row.service == service) {
-            let told = row.streams.iter().map(|id| {
+            let streams = row.streams.iter().map(|id| {
                 let (service, version) = (row.service.clone(), row.version.clone());
                 (now, Stream { service, version, id: *id })
             });
-            self.untold.extend(told);
+            self.recent.extend(streams);
         }
     }
 
-    /// Returns the streams of services with several versions that have begun since a time, at most
-    /// [`TOLD_TIME`] ago. Other gateways are told of them.
-    pub fn begun_since(&self, since: Duration, now: Duration) -> Segment {
+    /// Returns the streams of services with several versions that began since a time and are still
+    /// to be replicated to other gateways.
+    pub fn recent_since(&self, since: Duration, now: Duration) -> Segment {
         let mut segment = Segment::default();
-        let since = since.max(now.saturating_sub(TOLD_TIME));
-        let told = self.untold.iter().rev().filter(|(at, _)| *at >= since).take(MAX_TOLD);
-        for (_, Stream { service, version, id }) in told {
+        let since = since.max(now.saturating_sub(REPLICATION_TIME));
+        let recent = self.recent.iter().rev().filter(|(at, _)| *at >= since);
+        for (_, Stream { service, version, id }) in recent.take(MAX_REPLICATED) {
             if self.is_mixed(service, now) {
                 segment.add(service, version, *id);
             }
@@ -88,7 +87,7 @@
         segment
     }
 
-    /// Learns of streams that another gateway has begun.
+    /// Records streams that another gateway has replicated.
     pub fn learn(&mut self, segment: &Segment, now: Duration) {
         for row in &segment.rows {
             for stream in &row.streams {
@@ -103,7 +102,7 @@
     pub fn record(&mut self, service: &str, version: &str, stream: StreamId, now: Duration) {
         self.add(service, version, stream, now);
         let (service, version) = (service.to_owned(), version.to_owned());
-        self.untold.push((now, Stream { service, version, id: stream }));
+        self.recent.push((now, Stream { service, version, id: stream }));
     }
 
     fn add(&mut self, service: &str, version: &str, stream: StreamId, now: Duration) {
@@ -166,7 +165,7 @@
         let oldest = number(now).saturating_sub(SEGMENTS - 1);
         self.segments.retain(|(number, _)| *number >= oldest);
         self.versions.retain(|(_, _, at)| !is_over(*at, now));
-        self.untold.retain(|(at, _)| now.saturating_sub(*at) <= TOLD_TIME);
+        self.recent.retain(|(at, _)| now.saturating_sub(*at) <= REPLICATION_TIME);
     }
 }
 
--- a/crates/policy/src/origin/segment.rs
+++ b/crates/policy/src/origin/segment.rs
@@ -24,13 +24,13 @@
 }
 
 impl Segment {
-    /// Most streams of a segment that another process sends.
+    /// Most streams of a segment that a peer sends.
     pub const MAX_STREAMS: usize = 8_192;
 
-    /// Most rows of a segment that another process sends.
+    /// Most rows of a segment that a peer sends.
     const MAX_ROWS: usize = 256;
 
-    /// Whether a segment that another process sent is within the limits.
+    /// Whether a segment that a peer sent is within the limits.
     pub fn is_valid(&self) -> bool {
         let streams = self.rows.iter().map(|row| row.streams.len()).sum::<usize>();
         self.rows.len() <= Segment::MAX_ROWS && streams <= Segment::MAX_STREAMS
--- a/crates/policy/tests/origin.rs
+++ b/crates/policy/tests/origin.rs
@@ -25,7 +25,7 @@
 /// Returns the version that a gateway finds which knows nothing but what is stored.
 fn resolve<'a>(stored: &'a [Journal], service: &str, stream: StreamId) -> Option<&'a str> {
     let outlook = Outlook { is_first: true, ..Outlook::default() };
-    match policy::origin::resolve(stored, &outlook, service, stream) {
+    match policy::origin::resolve(stored, &outlook, service, Some(stream)) {
         Origin::Version(version) => stored
             .iter()
             .flat_map(|journal| &journal.segments)
@@ -51,7 +51,7 @@
     let mut stored = stored(&ledger, at(1));
     stored[0].is_complete = false;
     let both = outlook(&["v1", "v2"], at(3), true);
-    assert_eq!(policy::origin::resolve(&stored, &both, "model", 5), Origin::Unknown);
+    assert_eq!(policy::origin::resolve(&stored, &both, "model", Some(5)), Origin::Unknown);
 }
 
 #[test]
@@ -84,7 +84,7 @@
     let versions = ["v1", "v2"];
     let find = |age, is_first| {
         let outlook = outlook(&versions, at(age), is_first);
-        policy::origin::resolve(&all, &outlook, "model", 7) == Origin::Version("v1")
+        policy::origin::resolve(&all, &outlook, "model", Some(7)) == Origin::Version("v1")
     };
     assert!(find(0, true));
     assert!(!find(59, false));
@@ -92,7 +92,7 @@
     let mut incomplete = all.clone();
     incomplete[1].is_complete = false;
     let outlook = outlook(&versions, at(60), true);
-    assert_eq!(policy::origin::resolve(&incomplete, &outlook, "model", 7), Origin::Unknown);
+    assert_eq!(policy::origin::resolve(&incomplete, &outlook, "model", Some(7)), Origin::Unknown);
 }
 
 #[test]
@@ -105,12 +105,16 @@
     let segments = stored[0].segments.clone();
     let only_old = Journal { is_complete: false, segments: vec![segments[1].clone()] };
     let (young, old) = (Duration::from_millis(2_100), Duration::from_millis(2_300));
-    let find = |journals: &[Journal], outlook: &Outlook, stream| match policy::origin::resolve(
-        journals, outlook, "model", stream,
-    ) {
-        Origin::Version(version) => version.to_owned(),
-        other => format!("{other:?}"),
-    };
+    let find =
+        |journals: &[Journal], outlook: &Outlook, stream: StreamId| match policy::origin::resolve(
+            journals,
+            outlook,
+            "model",
+            Some(stream),
+        ) {
+            Origin::Version(version) => version.to_owned(),
+            other => format!("{other:?}"),
+        };
     for is_first in [false, true] {
         // What is stored is right, but may not be all.
         assert_eq!(find(&stored, &outlook(&["v1"], young, is_first), 5), "v1");
@@ -175,16 +179,31 @@
 }
 
 #[test]
-fn other_gateways_are_told_of_no_stream_of_a_mixed_service_or_only_once() {
+fn a_stream_without_an_id_is_refused_before_the_only_version_or_taken_for_some_of_several() {
+    let mut single = Ledger::default();
+    single.announce("model", "v1", at(1));
+    let mut mixed = single.clone();
+    mixed.announce("model", "v2", at(1));
+    let find = |journals: &[Journal]| {
+        let outlook = Outlook { is_first: true, ..Outlook::default() };
+        policy::origin::resolve(journals, &outlook, "model", None) == Origin::Version("v1")
+    };
+    let single = stored(&single, at(1));
+    assert!(find(&single));
+    assert!(!find(&[stored(&mixed, at(1)), single].concat()));
+}
+
+#[test]
+fn a_stream_of_a_mixed_service_is_not_replicated_or_without_end() {
     let mut ledger = Ledger::default();
     let streams = |ledger: &Ledger, millis| {
         let now = Duration::from_millis(millis);
-        let segment = ledger.begun_since(Duration::ZERO, now);
+        let segment = ledger.recent_since(Duration::ZERO, now);
         segment.rows.into_iter().flat_map(|row| row.streams).collect::<Vec<StreamId>>()
     };
     ledger.record("model", "v1", 5, at(2));
     assert!(streams(&ledger, 2_000).is_empty());
-    // All streams are told once the service has another version, and new ones then.
+    // All streams are replicated once the service has another version, and new ones then.
     ledger.announce("model", "v2", at(20));
     assert_eq!(streams(&ledger, 20_000), [5]);
     assert_eq!(streams(&ledger, 21_000), [5]);
@@ -193,17 +212,17 @@
     assert_eq!(streams(&ledger, 21_200), [6]);
     assert!(streams(&ledger, 22_200).is_empty());
     ledger.record("model", "v2", 7, Duration::from_millis(22_300));
-    let begun = ledger.begun_since(Duration::from_millis(22_301), Duration::from_millis(22_400));
-    assert_eq!(begun, Segment::default());
+    let recent = ledger.recent_since(Duration::from_millis(22_301), Duration::from_millis(22_400));
+    assert_eq!(recent, Segment::default());
 }
 
 #[test]
-fn streams_that_are_told_again_take_more_and_more_room() {
+fn a_stream_that_is_replicated_again_takes_more_and_more_room() {
     let (mut ledger, mut other) = (Ledger::default(), Ledger::default());
     ledger.announce("model", "v1", at(1));
     ledger.record("model", "v2", 6, at(2));
     for _ in 0..5 {
-        other.learn(&ledger.begun_since(at(0), at(2)), at(2));
+        other.learn(&ledger.recent_since(at(0), at(2)), at(2));
     }
     assert_eq!(other.find("model", 6), Some("v2"));
     let streams = other.segments(at(2)).flat_map(|(_, segment)| &segment.rows);
--- a/crates/rpc/src/view.rs
+++ b/crates/rpc/src/view.rs
@@ -96,27 +96,32 @@
     pub crashes: Digest,
     /// Requests at endpoints that limit them.
     pub usage: U,
-    /// Streams that the sender has begun lately, with their versions.
-    pub begun: Segment,
+    /// Streams that the sender replicates.
+    pub streams: Segment,
 }
 
 impl<T: DeserializeOwned, U: DeserializeOwned + Default> Message<T, U> {
     /// Decodes a message of any build; `None` if that fails.
     fn decode(text: &str) -> Option<Message<T, U>> {
-        let begun = Segment::default;
-        let without_begun = || {
+        let streams = Segment::default;
+        let without_streams = || {
             let (loads, crashes, usage) = packet::decode(text)?;
-            Some(Message { loads, crashes, usage, begun: begun() })
+            Some(Message { loads, crashes, usage, streams: streams() })
         };
         let without_usage = || {
             let (loads, crashes) = packet::decode(text)?;
-            Some(Message { loads, crashes, usage: U::default(), begun: begun() })
+            Some(Message { loads, crashes, usage: U::default(), streams: streams() })
         };
         let without_crashes = || {
             let loads = packet::decode(text)?;
-            Some(Message { loads, crashes: Digest::default(), usage: U::default(), begun: begun() })
+            Some(Message {
+                loads,
+                crashes: Digest::default(),
+                usage: U::default(),
+                streams: streams(),
+            })
         };
-        let message = packet::decode(text).or_else(without_begun);
+        let message = packet::decode(text).or_else(without_streams);
         message.or_else(without_usage).or_else(without_crashes)
     }
 }
@@ -148,11 +153,11 @@
     /// Returns what a peer should know of crashes; `is_new` for one that has just started.
     fn crashes(&self, is_new: bool) -> Digest;
 
-    /// Learns of streams that a peer has begun.
-    fn learn_begun(&self, begun: &Segment);
+    /// Records streams that a peer replicates.
+    fn learn_streams(&self, streams: &Segment);
 
-    /// Returns the streams that this process has begun lately.
-    fn begun(&self) -> Segment;
+    /// Returns the streams that this process replicates.
+    fn streams(&self) -> Segment;
 }
 
 /// The JSON-RPC interface; messages are encoded as those of control calls.
@@ -175,9 +180,9 @@
     #[method(name = "swap")]
     async fn swap(&self, report: String) -> RpcResult<String>;
 
-    /// Takes an encoded [`Segment`] of streams that the caller has begun.
-    #[method(name = "begun")]
-    async fn begun(&self, streams: String) -> RpcResult<()>;
+    /// Takes an encoded [`Segment`] of streams that the caller replicates.
+    #[method(name = "replicate")]
+    async fn replicate(&self, streams: String) -> RpcResult<()>;
 }
 
 /// Implements the interface with a source.
@@ -216,17 +221,17 @@
         Ok(packet::encode(&self.message(loads, usage, is_new)))
     }
 
-    async fn begun(&self, streams: String) -> RpcResult<()> {
-        let begun: Segment = read(&streams)?;
-        check_begun(&begun)?;
-        self.source.learn_begun(&begun);
+    async fn replicate(&self, streams: String) -> RpcResult<()> {
+        let streams: Segment = read(&streams)?;
+        check_streams(&streams)?;
+        self.source.learn_streams(&streams);
         Ok(())
     }
 }
 
-/// Checks streams that a peer has begun.
-fn check_begun(begun: &Segment) -> RpcResult<()> {
-    begun.is_valid().then_some(()).ok_or_else(|| limit::invalid("the streams are too many"))
+/// Checks the number of streams that a peer replicates.
+fn check_streams(streams: &Segment) -> RpcResult<()> {
+    streams.is_valid().then_some(()).ok_or_else(|| limit::invalid("the streams are too many"))
 }
 
 /// Decodes an argument.
@@ -237,13 +242,18 @@
 impl Methods {
     /// Returns a message with what any peer should know; `is_new` for one that has just started.
     fn message<T, U>(&self, loads: T, usage: U, is_new: bool) -> Message<T, U> {
-        Message { loads, crashes: self.source.crashes(is_new), usage, begun: self.source.begun() }
+        Message {
+            loads,
+            crashes: self.source.crashes(is_new),
+            usage,
+            streams: self.source.streams(),
+        }
     }
 
     /// Decodes reports, checks their size, and learns of the crashes that come with them.
     fn read_report(&self, text: &str) -> RpcResult<(Report, rate_limit::Report)> {
         let message = Message::<Report, rate_limit::Report>::decode(text);
-        let Message { loads: report, crashes, usage, begun } =
+        let Message { loads: report, crashes, usage, streams } =
             message.ok_or_else(|| limit::invalid("the argument can't be read"))?;
         let rows = report.own.len() + report.members.len();
         let rows = rows.max(usage.own.len() + usage.members.len());
@@ -256,9 +266,9 @@
         if !usage.own.is_valid() || !usage.members.is_valid() {
             return Err(limit::invalid("the rows of limited endpoints are not in order"));
         }
-        check_begun(&begun)?;
+        check_streams(&streams)?;
         self.source.learn_crashes(&crashes);
-        self.source.learn_begun(&begun);
+        self.source.learn_streams(&streams);
         Ok((report, usage))
     }
 }
--- a/crates/rpc/src/view/client.rs
+++ b/crates/rpc/src/view/client.rs
@@ -120,14 +120,14 @@
         Ok(message)
     }
 
-    /// Tells the peer of streams that this process has begun. The caller limits the time.
+    /// Replicates streams to the peer. The caller limits the time.
     ///
     /// # Errors
     ///
     /// [`Error::Unreachable`] if the peer can't be reached, and [`Error::Refused`] if it refused the
     /// call, as builds without it do.
-    pub async fn begun(&self, streams: &Segment) -> Result<(), Error> {
-        let called = self.client.begun(packet::encode(streams)).await;
+    pub async fn replicate(&self, streams: &Segment) -> Result<(), Error> {
+        let called = self.client.replicate(packet::encode(streams)).await;
         called.map_err(|error| pool::into_error(self.peer, error))
     }
 
@@ -138,7 +138,7 @@
         U: DeserializeOwned + Default,
     {
         let message = Message::decode(answer)
-            .filter(|message| message.crashes.is_valid() && message.begun.is_valid());
+            .filter(|message| message.crashes.is_valid() && message.streams.is_valid());
         message.ok_or_else(|| Error::Refused(self.peer, "its answer is malformed".to_owned()))
     }
 
--- a/crates/rpc/tests/view.rs
+++ b/crates/rpc/tests/view.rs
@@ -43,7 +43,7 @@
 #[derive(Default)]
 struct Script {
     learned: Mutex<Digest>,
-    begun: Mutex<Segment>,
+    streams: Mutex<Segment>,
 }
 
 impl Source for Script {
@@ -83,12 +83,12 @@
         if is_new { self.learned.lock().clone() } else { Digest::default() }
     }
 
-    fn learn_begun(&self, begun: &Segment) {
-        *self.begun.lock() = begun.clone();
+    fn learn_streams(&self, streams: &Segment) {
+        *self.streams.lock() = streams.clone();
     }
 
-    fn begun(&self) -> Segment {
-        self.begun.lock().clone()
+    fn streams(&self) -> Segment {
+        self.streams.lock().clone()
     }
 }
 
@@ -111,7 +111,7 @@
         loads: report(vm, rows),
         crashes: Digest::default(),
         usage,
-        begun: Segment::default(),
+        streams: Segment::default(),
     }
 }
 
@@ -209,22 +209,22 @@
     stop.cancel();
 }
 
-/// Returns this many streams that began at one version.
-fn begun(streams: u32) -> Segment {
+/// Returns this many streams of one version.
+fn streams(count: u32) -> Segment {
     let (service, version) = ("model".to_owned(), "v1".to_owned());
-    Segment { rows: vec![StreamRow { service, version, streams: (0..streams).collect() }] }
+    Segment { rows: vec![StreamRow { service, version, streams: (0..count).collect() }] }
 }
 
 #[tokio::test]
-async fn streams_are_told_both_ways_and_too_many_refused() {
+async fn streams_are_replicated_both_ways_and_too_many_refused() {
     let (client, stop) = connect().await;
-    let told = Message { begun: begun(3), ..message("valid", 1) };
+    let told = Message { streams: streams(3), ..message("valid", 1) };
     let answer = client.report(&told, ANSWER_TIMEOUT).await;
-    assert_eq!(answer.map(|answer| answer.begun), Ok(begun(3)));
+    assert_eq!(answer.map(|answer| answer.streams), Ok(streams(3)));
     assert_eq!(client.swap(&told, ANSWER_TIMEOUT).await, Ok(told));
-    assert_eq!(client.begun(&begun(5)).await, Ok(()));
-    assert!(client.begun(&begun(8_193)).await.is_err());
-    let too_many = Message { begun: begun(8_193), ..message("valid", 1) };
+    assert_eq!(client.replicate(&streams(5)).await, Ok(()));
+    assert!(client.replicate(&streams(8_193)).await.is_err());
+    let too_many = Message { streams: streams(8_193), ..message("valid", 1) };
     assert!(is_refused(&client.report(&too_many, MAX_WAIT).await));
     assert!(is_refused(&client.swap(&too_many, MAX_WAIT).await));
     stop.cancel();
