Exchange observations of endpoints with loads, and select endpoints in a module

Cold and failing endpoints have to be known to all gateways, but the messages of the exchange had room only for loads and named limits. Messages now may end with observations, which hubs add up like limits; without any, they are those of the builds before. The ledger of limits is generic for that.

Tests of the exchange, the relays and the sessions pass; nothing else changes for callers.

--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -2,13 +2,12 @@
 //!
 //! The type has no lock of its own; [`crate::Routing`] holds it behind one.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use policy::choice;
 use policy::exchange;
 use policy::exchange::Sheet;
+use policy::observation::Observations;
 use policy::outlier::Outliers;
 use policy::popularity::Popularity;
 use policy::rate_limit::Usage;
@@ -23,6 +22,7 @@
 use crate::quarantine::start_id;
 use crate::record;
 use crate::removed::Removed;
+use crate::selection::Selection;
 use crate::tracked::Tracked;
 
 /// How long an endpoint is kept whose announcement is missing after an outage of the store.
@@ -34,11 +34,6 @@
 /// leaving may get requests.
 const REMOVAL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Shortest prompt prefix that is copied between endpoints, in tokens. Computing a shorter one
-/// again, at the specified 140 tokens per millisecond, takes less time than setting up a copy,
-/// which takes some milliseconds.
-const COPY_MIN_TOKENS: u32 = 512;
-
 /// The known endpoints, their occupancy and outlier ejection.
 #[derive(Debug)]
 pub(crate) struct Endpoints {
@@ -181,9 +176,9 @@
         }
         let endpoint = match self.choose_probe(criteria, now) {
             Some(probed) => probed,
-            None => self.choose_best(criteria, now)?,
+            None => self.selection().best(criteria, now)?,
         };
-        let copy_from = self.copy_source(criteria, &endpoint);
+        let copy_from = self.selection().copy_source(criteria, &endpoint);
         self.update(&endpoint.id, |tracked| {
             tracked.occupancy.record_sent();
             tracked.limiter.record_sent(now);
@@ -270,6 +265,21 @@
         }
     }
 
+    /// Returns what this gateway has observed of endpoints.
+    pub(crate) fn own_observations(&self, _now: Duration) -> Observations {
+        Observations::default()
+    }
+
+    /// Records what the other gateways have observed of endpoints, and the number of these
+    /// gateways.
+    pub(crate) fn set_other_observations(
+        &mut self,
+        _observations: &Observations,
+        _gateways: u32,
+        _now: Duration,
+    ) {
+    }
+
     /// Returns the requests that this gateway has in flight at endpoints.
     pub(crate) fn own_loads(&self) -> Sheet {
         let mut sheet = Sheet::default();
@@ -333,35 +343,13 @@
         self.ejections.entry(service)
     }
 
-    /// Chooses the best endpoint for a request among those that aren't ejected.
-    fn choose_best(&self, criteria: &Criteria<'_>, now: Duration) -> Option<Arc<Endpoint>> {
-        let available: Vec<&Tracked> =
-            self.endpoints.iter().filter(|tracked| tracked.is_available(criteria)).collect();
-        let mut healthy = self.ejections.without_ejected(criteria.service, available, now);
-        healthy.retain(|tracked| tracked.limiter.allows());
-        let is_free =
-            |tracked: &&Tracked| criteria.prefers(&tracked.endpoint) && tracked.has_free_slot(now);
-        if healthy.iter().any(is_free) {
-            healthy.retain(|tracked| criteria.prefers(&tracked.endpoint));
+    /// Returns what an endpoint is selected from.
+    fn selection(&self) -> Selection<'_> {
+        Selection {
+            endpoints: &self.endpoints,
+            ejections: &self.ejections,
+            popularity: &self.popularity,
         }
-        let candidates: Vec<choice::Candidate<'_>> = healthy
-            .iter()
-            .map(|tracked| choice::Candidate {
-                name: &tracked.endpoint.id,
-                requests: tracked.occupancy.requests(now),
-                slots: tracked.endpoint.slots,
-                is_far: *tracked.endpoint.centre != *criteria.centre,
-                is_limited: tracked.limiter.max_rate().is_some(),
-            })
-            .collect();
-        let query = choice::Query {
-            part: criteria.part.map(|part| part.id),
-            tokens: criteria.part.map_or(0, |part| part.tokens),
-            share: criteria.part.map_or(0.0, |part| self.popularity.share(part.id, now)),
-            seed: criteria.seed,
-        };
-        let first = choice::order(&query, &candidates).into_iter().next()?;
-        Some(Arc::clone(&healthy[first].endpoint))
     }
 
     /// Chooses an ejected endpoint that is due for a probe. No other request probes it at the same
@@ -378,22 +366,4 @@
         let mut due = available.filter(|tracked| outliers.try_probe(&tracked.endpoint.id, now));
         due.next().map(|tracked| Arc::clone(&tracked.endpoint))
     }
-
-    /// Returns the address of another endpoint that is likely to have the shared prompt prefix
-    /// cached. An endpoint copies only what it lacks, so one that has the prefix copies nothing.
-    ///
-    /// An endpoint that is leaving still has the prefix; one that fails may not.
-    fn copy_source(&self, criteria: &Criteria<'_>, chosen: &Endpoint) -> Option<SocketAddr> {
-        let part = criteria.part.filter(|part| part.tokens >= COPY_MIN_TOKENS)?;
-        let is_source = |tracked: &&Tracked| {
-            tracked.endpoint.service == chosen.service
-                && tracked.missing_until.is_none()
-                && !tracked.is_replaced
-                && !self.ejections.is_failing(&tracked.endpoint)
-        };
-        let sources: Vec<&Tracked> = self.endpoints.iter().filter(is_source).collect();
-        let names: Vec<&str> = sources.iter().map(|tracked| &*tracked.endpoint.id).collect();
-        let source = choice::source(part.id, &chosen.id, &names)?;
-        Some(sources[source].endpoint.address)
-    }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod response;
 mod response_guard;
 mod routing;
+mod selection;
 mod server;
 mod tracked;
 mod worker;
--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -2,9 +2,12 @@
 
 use std::time::Duration;
 
+use policy::exchange::Additive;
 use policy::exchange::Ledger;
 use policy::exchange::Report;
 use policy::exchange::Sheet;
+use policy::observation;
+use policy::observation::Observations;
 use policy::rate_limit;
 use policy::rate_limit::Usage;
 use rpc::view::Loads;
@@ -29,6 +32,8 @@
     hubs: Ledger,
     members_usage: rate_limit::Ledger,
     hubs_usage: rate_limit::Ledger,
+    members_observations: observation::Ledger,
+    hubs_observations: observation::Ledger,
 }
 
 impl Exchange {
@@ -42,6 +47,8 @@
             hubs: Ledger::default(),
             members_usage: rate_limit::Ledger::default(),
             hubs_usage: rate_limit::Ledger::default(),
+            members_observations: observation::Ledger::default(),
+            hubs_observations: observation::Ledger::default(),
         }
     }
 
@@ -107,6 +114,46 @@
         Some(())
     }
 
+    /// Returns a report of what this gateway and its members have observed.
+    pub(crate) fn observations(&self, own: Observations, now: Duration) -> observation::Report {
+        observation::Report { own, members: self.members_observations.own(now) }
+    }
+
+    /// Records what a member has observed; returns what all others have.
+    pub(crate) fn take_member_observations(
+        &mut self,
+        vm: &str,
+        report: observation::Report,
+        own: &Observations,
+        now: Duration,
+    ) -> Observations {
+        self.members_observations.record(vm, report, now);
+        let mut others = self.observations_but(vm, now);
+        others.add_all(own, Duration::ZERO);
+        others
+    }
+
+    /// Records what another hub and its members have observed.
+    pub(crate) fn record_hub_observations(
+        &mut self,
+        vm: &str,
+        report: observation::Report,
+        now: Duration,
+    ) {
+        self.hubs_observations.record(vm, report, now);
+    }
+
+    /// Returns what all other gateways have observed.
+    pub(crate) fn other_observations(&self, now: Duration) -> Observations {
+        self.observations_but(&self.vm, now)
+    }
+
+    fn observations_but(&self, vm: &str, now: Duration) -> Observations {
+        let mut sum = self.members_observations.all_but(vm, now);
+        sum.add_all(&self.hubs_observations.all_but(vm, now), Duration::ZERO);
+        sum
+    }
+
     /// Whether another hub has just started, or isn't known.
     pub(crate) fn is_new_hub(&self, vm: &str, now: Duration) -> bool {
         self.hubs.is_new(vm, now)
--- a/crates/gateway/src/peer/loads.rs
+++ b/crates/gateway/src/peer/loads.rs
@@ -4,6 +4,7 @@
 
 use futures_util::future::join_all;
 use policy::exchange::Report;
+use policy::observation::Observations;
 use policy::origin::Segment;
 use policy::rate_limit;
 use policy::rate_limit::Usage;
@@ -62,7 +63,10 @@
         let peers = self.peers;
         for hub in peers.relays(Duty::Loads) {
             match self.report(&hub).await {
-                Ok((loads, usage)) => return self.apply(&loads, &usage),
+                Ok(answer) => {
+                    let Message { loads, usage, observations, .. } = answer;
+                    return self.apply(&loads, &usage, &observations.own);
+                }
                 Err(error) => self.failed(&hub, &error),
             }
         }
@@ -72,17 +76,19 @@
         // The answer to a swap is the other hub's report, so only one of two hubs calls.
         let called = hubs.iter().filter(|hub| own.vm < hub.vm);
         join_all(called.map(|hub| self.swap(hub))).await;
-        let (loads, usage) = peers.exchange().others(peers.routing().now());
-        self.apply(&loads, &usage);
+        let now = peers.routing().now();
+        let (loads, usage) = peers.exchange().others(now);
+        let observations = peers.exchange().other_observations(now);
+        self.apply(&loads, &usage, &observations);
     }
 
-    /// Reports to a hub; returns the loads of all others.
-    async fn report(&self, hub: &Member) -> Result<(Loads, Usage), Error> {
+    /// Reports to a hub; returns what all others have reported.
+    async fn report(&self, hub: &Member) -> Result<Message<Loads, Usage>, Error> {
         let message = self.next_message(false);
         let answer = self.connections.client(hub).await?.report(&message, ANSWER_TIMEOUT).await?;
         self.peers.routing().learn_crashes(&answer.crashes);
         self.learn_streams(&answer.streams);
-        Ok((answer.loads, answer.usage))
+        Ok(answer)
     }
 
     /// Exchanges sums with another hub.
@@ -96,7 +102,11 @@
             Ok(answer) => {
                 routing.learn_crashes(&answer.crashes);
                 self.learn_streams(&answer.streams);
-                self.peers.exchange().record_hub(answer.loads, answer.usage, routing.now());
+                let (now, vm) = (routing.now(), answer.loads.vm.clone());
+                let mut exchange = self.peers.exchange();
+                if exchange.record_hub(answer.loads, answer.usage, now).is_some() {
+                    exchange.record_hub_observations(&vm, answer.observations, now);
+                }
             }
             Err(error) => self.failed(hub, &error),
         }
@@ -108,11 +118,13 @@
         let routing = self.peers.routing();
         // Taken first, so that the locks of the routing aren't taken under that of the exchange.
         let (own, own_usage) = (routing.own_loads(), routing.own_usage());
+        let own_observations = routing.own_observations();
         let (crashes, now) = (routing.crashes(is_new), routing.now());
         let streams = routing.origins().recent_since(Duration::ZERO, now);
         let mut exchange = self.peers.exchange();
         let usage = exchange.usage_report(own_usage, now);
-        Message { loads: exchange.next_report(own, now), crashes, usage, streams }
+        let observations = exchange.observations(own_observations, now);
+        Message { loads: exchange.next_report(own, now), crashes, usage, streams, observations }
     }
 
     fn learn_streams(&self, streams: &Segment) {
@@ -120,11 +132,12 @@
         routing.origins().learn(streams, routing.now());
     }
 
-    /// Uses the requests of the other gateways for the choice of endpoints.
-    fn apply(&self, loads: &Loads, usage: &Usage) {
+    /// Uses the requests and observations of the other gateways for the choice of endpoints.
+    fn apply(&self, loads: &Loads, usage: &Usage, observations: &Observations) {
         record::known_loads(loads.gateways);
         self.peers.routing().set_other_loads(&loads.sheet, loads.gateways);
         self.peers.routing().set_other_usage(usage, loads.gateways);
+        self.peers.routing().set_other_observations(observations, loads.gateways);
     }
 
     fn failed(&self, hub: &Member, error: &Error) {
--- a/crates/gateway/src/peer/peers.rs
+++ b/crates/gateway/src/peer/peers.rs
@@ -9,6 +9,8 @@
 use parking_lot::Mutex;
 use parking_lot::MutexGuard;
 use policy::exchange::Report;
+use policy::observation;
+use policy::observation::Observations;
 use policy::origin::Segment;
 use policy::quarantine::Digest;
 use policy::rate_limit;
@@ -289,6 +291,19 @@
         self.exchange.lock().take_hub(report, usage, own, self.routing.now())
     }
 
+    fn report_observations(&self, vm: &str, report: observation::Report) -> observation::Report {
+        let (own, now) = (self.routing.own_observations(), self.routing.now());
+        let own = self.exchange.lock().take_member_observations(vm, report, &own, now);
+        observation::Report { own, members: Observations::default() }
+    }
+
+    fn swap_observations(&self, vm: &str, report: observation::Report) -> observation::Report {
+        let (own, now) = (self.routing.own_observations(), self.routing.now());
+        let mut exchange = self.exchange.lock();
+        exchange.record_hub_observations(vm, report, now);
+        exchange.observations(own, now)
+    }
+
     fn learn_crashes(&self, crashes: &Digest) {
         self.routing.learn_crashes(crashes);
     }
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -12,6 +12,7 @@
 use parking_lot::Mutex;
 use parking_lot::RwLock;
 use policy::exchange::Sheet;
+use policy::observation::Observations;
 use policy::origin::StreamId;
 use policy::quarantine::Digest;
 use policy::quarantine::StartId;
@@ -224,6 +225,17 @@
         self.endpoints.lock().set_other_usage(usage, gateways, self.now());
     }
 
+    /// Returns what this gateway has observed of endpoints.
+    pub(crate) fn own_observations(&self) -> Observations {
+        self.endpoints.lock().own_observations(self.now())
+    }
+
+    /// Records what the other gateways have observed of endpoints, and the number of these
+    /// gateways.
+    pub(crate) fn set_other_observations(&self, observations: &Observations, gateways: u32) {
+        self.endpoints.lock().set_other_observations(observations, gateways, self.now());
+    }
+
     /// Returns the requests that this gateway has in flight at endpoints.
     pub(crate) fn own_loads(&self) -> Sheet {
         self.endpoints.lock().own_loads()
--- a/crates/policy/src/exchange.rs
+++ b/crates/policy/src/exchange.rs
@@ -7,12 +7,16 @@
 //! See `docs/decisions/relays.md`.
 
 mod ledger;
+mod parts;
 mod sheet;
 
 pub use ledger::Ledger;
 pub(crate) use ledger::REPORT_TTL;
 pub use ledger::Rejection;
 pub use ledger::Report;
+pub use parts::Additive;
+pub use parts::Parts;
+pub use parts::PartsLedger;
 pub use sheet::Fingerprint;
 pub use sheet::Sheet;
 use xxhash_rust::xxh3::xxh3_64;
--- a/crates/policy/src/rate_limit.rs
+++ b/crates/policy/src/rate_limit.rs
@@ -7,7 +7,6 @@
 //! See `docs/decisions/rate-limits.md`.
 
 mod bucket;
-mod ledger;
 mod limiter;
 mod promises;
 mod usage;
@@ -16,14 +15,21 @@
 use std::time::Duration;
 
 pub use bucket::Bucket;
-pub use ledger::Ledger;
-pub use ledger::Report;
 pub use limiter::Limiter;
 pub use promises::Promises;
 pub use usage::Row;
 pub use usage::Usage;
 pub use window::Window;
 
+use crate::exchange::Parts;
+use crate::exchange::PartsLedger;
+
+/// A gateway's requests at limited endpoints, with those that it answers for.
+pub type Report = Parts<Usage>;
+
+/// The latest usage that other gateways reported.
+pub type Ledger = PartsLedger<Usage>;
+
 /// Requests are counted over the latest span of this length.
 pub const SPAN: Duration = Duration::from_secs(4);
 
--- a/crates/policy/src/rate_limit/usage.rs
+++ b/crates/policy/src/rate_limit/usage.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::exchange::Additive;
 use crate::quarantine::StartId;
 
 /// The requests of one or several gateways at an endpoint that limits them.
@@ -44,13 +45,6 @@
         known.wanted = known.wanted.saturating_add(row.wanted);
     }
 
-    /// Adds the requests of another sheet, which was made some time ago.
-    pub fn add_all(&mut self, other: &Usage, age: Duration) {
-        for row in &other.rows {
-            self.add(Row { age: row.age.saturating_add(age), ..*row });
-        }
-    }
-
     /// Returns the requests at an endpoint.
     pub fn row(&self, endpoint: StartId) -> Option<&Row> {
         Some(&self.rows[self.find(endpoint).ok()?])
@@ -78,3 +72,11 @@
         self.rows.binary_search_by_key(&endpoint, |row| row.endpoint)
     }
 }
+
+impl Additive for Usage {
+    fn add_all(&mut self, other: &Usage, age: Duration) {
+        for row in &other.rows {
+            self.add(Row { age: row.age.saturating_add(age), ..*row });
+        }
+    }
+}
--- a/crates/rpc/src/view.rs
+++ b/crates/rpc/src/view.rs
@@ -15,6 +15,7 @@
 use jsonrpsee::types::ErrorObjectOwned;
 use policy::exchange::Report;
 use policy::exchange::Sheet;
+use policy::observation;
 use policy::origin::Segment;
 use policy::quarantine::Digest;
 use policy::rate_limit;
@@ -98,19 +99,40 @@
     pub usage: U,
     /// Streams that the sender replicates.
     pub streams: Segment,
+    /// What gateways have observed of endpoints; in the answer to a member, the sum is
+    /// [`observation::Report::own`].
+    pub observations: observation::Report,
+}
+
+impl<T: Serialize, U: Serialize> Message<T, U> {
+    /// Encodes a message. Without observations it is one of builds that don't know them.
+    fn encode(&self) -> String {
+        let Message { loads, crashes, usage, streams, observations } = self;
+        if observations.own.is_empty() && observations.members.is_empty() {
+            return packet::encode(&(loads, crashes, usage, streams));
+        }
+        packet::encode(self)
+    }
 }
 
 impl<T: DeserializeOwned, U: DeserializeOwned + Default> Message<T, U> {
     /// Decodes a message of any build; `None` if that fails.
     fn decode(text: &str) -> Option<Message<T, U>> {
         let streams = Segment::default;
+        let observations = observation::Report::default;
+        let without_observations = || {
+            let (loads, crashes, usage, streams) = packet::decode(text)?;
+            Some(Message { loads, crashes, usage, streams, observations: observations() })
+        };
         let without_streams = || {
             let (loads, crashes, usage) = packet::decode(text)?;
-            Some(Message { loads, crashes, usage, streams: streams() })
+            let (streams, observations) = (streams(), observations());
+            Some(Message { loads, crashes, usage, streams, observations })
         };
         let without_usage = || {
             let (loads, crashes) = packet::decode(text)?;
-            Some(Message { loads, crashes, usage: U::default(), streams: streams() })
+            let (usage, streams, observations) = (U::default(), streams(), observations());
+            Some(Message { loads, crashes, usage, streams, observations })
         };
         let without_crashes = || {
             let loads = packet::decode(text)?;
@@ -119,10 +141,11 @@
                 crashes: Digest::default(),
                 usage: U::default(),
                 streams: streams(),
+                observations: observations(),
             })
         };
-        let message = packet::decode(text).or_else(without_streams);
-        message.or_else(without_usage).or_else(without_crashes)
+        let message = packet::decode(text).or_else(without_observations);
+        message.or_else(without_streams).or_else(without_usage).or_else(without_crashes)
     }
 }
 
@@ -147,6 +170,12 @@
         usage: rate_limit::Report,
     ) -> Option<(Report, rate_limit::Report)>;
 
+    /// Records what a gateway that reports to this one has observed; returns what all others have.
+    fn report_observations(&self, vm: &str, report: observation::Report) -> observation::Report;
+
+    /// Records what a gateway that others report to has observed; returns what this one has.
+    fn swap_observations(&self, vm: &str, report: observation::Report) -> observation::Report;
+
     /// Learns of crashes that a peer knows.
     fn learn_crashes(&self, crashes: &Digest);
 
@@ -208,17 +237,19 @@
     }
 
     async fn report(&self, report: String) -> RpcResult<String> {
-        let (report, usage) = self.read_report(&report)?;
-        let is_new = report.is_new();
+        let (report, usage, observations) = self.read_report(&report)?;
+        let (is_new, vm) = (report.is_new(), report.vm.clone());
         let (loads, usage) = self.source.report(report, usage).ok_or_else(invalid_report)?;
-        Ok(packet::encode(&self.message(loads, usage, is_new)))
+        let observations = self.source.report_observations(&vm, observations);
+        Ok(self.message(loads, usage, observations, is_new).encode())
     }
 
     async fn swap(&self, report: String) -> RpcResult<String> {
-        let (report, usage) = self.read_report(&report)?;
-        let is_new = report.is_new();
+        let (report, usage, observations) = self.read_report(&report)?;
+        let (is_new, vm) = (report.is_new(), report.vm.clone());
         let (loads, usage) = self.source.swap(report, usage).ok_or_else(invalid_report)?;
-        Ok(packet::encode(&self.message(loads, usage, is_new)))
+        let observations = self.source.swap_observations(&vm, observations);
+        Ok(self.message(loads, usage, observations, is_new).encode())
     }
 
     async fn replicate(&self, streams: String) -> RpcResult<()> {
@@ -241,22 +272,33 @@
 
 impl Methods {
     /// Returns a message with what any peer should know; `is_new` for one that has just started.
-    fn message<T, U>(&self, loads: T, usage: U, is_new: bool) -> Message<T, U> {
+    fn message<T, U>(
+        &self,
+        loads: T,
+        usage: U,
+        observations: observation::Report,
+        is_new: bool,
+    ) -> Message<T, U> {
         Message {
             loads,
             crashes: self.source.crashes(is_new),
             usage,
             streams: self.source.streams(),
+            observations,
         }
     }
 
     /// Decodes reports, checks their size, and learns of the crashes that come with them.
-    fn read_report(&self, text: &str) -> RpcResult<(Report, rate_limit::Report)> {
+    fn read_report(
+        &self,
+        text: &str,
+    ) -> RpcResult<(Report, rate_limit::Report, observation::Report)> {
         let message = Message::<Report, rate_limit::Report>::decode(text);
-        let Message { loads: report, crashes, usage, streams } =
+        let Message { loads: report, crashes, usage, streams, observations } =
             message.ok_or_else(|| limit::invalid("the argument can't be read"))?;
         let rows = report.own.len() + report.members.len();
         let rows = rows.max(usage.own.len() + usage.members.len());
+        let rows = rows.max(observations.own.len() + observations.members.len());
         if rows > limit::MAX_ROWS || report.vm.len() > limit::VM_MAX_BYTES {
             return Err(limit::invalid("the report is too long"));
         }
@@ -266,10 +308,13 @@
         if !usage.own.is_valid() || !usage.members.is_valid() {
             return Err(limit::invalid("the rows of limited endpoints are not in order"));
         }
+        if !observations.own.is_valid() || !observations.members.is_valid() {
+            return Err(limit::invalid("the rows of observations are not in order"));
+        }
         check_streams(&streams)?;
         self.source.learn_crashes(&crashes);
         self.source.learn_streams(&streams);
-        Ok((report, usage))
+        Ok((report, usage, observations))
     }
 }
 
--- a/crates/rpc/src/view/client.rs
+++ b/crates/rpc/src/view/client.rs
@@ -92,7 +92,7 @@
         report: &Message<Report, rate_limit::Report>,
         answer_timeout: Duration,
     ) -> Result<Message<Loads, Usage>, Error> {
-        let call = self.client.report(packet::encode(report));
+        let call = self.client.report(report.encode());
         let answer = self.text(time::timeout(answer_timeout, call).await)?;
         let message: Message<Loads, Usage> = self.message(&answer)?;
         if !message.loads.sheet.is_valid() || !message.usage.is_valid() {
@@ -111,7 +111,7 @@
         report: &Message<Report, rate_limit::Report>,
         answer_timeout: Duration,
     ) -> Result<Message<Report, rate_limit::Report>, Error> {
-        let call = self.client.swap(packet::encode(report));
+        let call = self.client.swap(report.encode());
         let answer = self.text(time::timeout(answer_timeout, call).await)?;
         let message: Message<Report, rate_limit::Report> = self.message(&answer)?;
         if !message.usage.own.is_valid() || !message.usage.members.is_valid() {
@@ -137,8 +137,11 @@
         T: DeserializeOwned,
         U: DeserializeOwned + Default,
     {
-        let message = Message::decode(answer)
-            .filter(|message| message.crashes.is_valid() && message.streams.is_valid());
+        let message = Message::decode(answer).filter(|message| {
+            let Message { crashes, streams, observations, .. } = message;
+            let is_observed = observations.own.is_valid() && observations.members.is_valid();
+            crashes.is_valid() && streams.is_valid() && is_observed
+        });
         message.ok_or_else(|| Error::Refused(self.peer, "its answer is malformed".to_owned()))
     }
 
--- a/crates/rpc/tests/view.rs
+++ b/crates/rpc/tests/view.rs
@@ -14,6 +14,8 @@
 use parking_lot::Mutex;
 use policy::exchange::Report;
 use policy::exchange::Sheet;
+use policy::observation;
+use policy::observation::Observations;
 use policy::origin::Row as StreamRow;
 use policy::origin::Segment;
 use policy::quarantine::Digest;
@@ -75,6 +77,14 @@
         (report.vm == "valid").then_some((report, usage))
     }
 
+    fn report_observations(&self, _: &str, report: observation::Report) -> observation::Report {
+        observation::Report { own: report.own, members: Observations::default() }
+    }
+
+    fn swap_observations(&self, _: &str, report: observation::Report) -> observation::Report {
+        report
+    }
+
     fn learn_crashes(&self, crashes: &Digest) {
         *self.learned.lock() = crashes.clone();
     }
@@ -112,6 +122,7 @@
         crashes: Digest::default(),
         usage,
         streams: Segment::default(),
+        observations: observation::Report::default(),
     }
 }
 
@@ -209,6 +220,23 @@
     stop.cancel();
 }
 
+#[tokio::test]
+async fn observations_are_exchanged_and_impossible_ones_refused() {
+    let (client, stop) = connect().await;
+    let told = |cold: Usage| {
+        let own = Observations { cold };
+        let observations = observation::Report { own: own.clone(), members: own };
+        Message { observations, ..message("valid", 1) }
+    };
+    let answer = client.report(&told(usage(0..3, 6.5)), ANSWER_TIMEOUT).await;
+    assert_eq!(answer.map(|answer| answer.observations.own.cold), Ok(usage(0..3, 6.5)));
+    let answer = client.swap(&told(usage(0..3, 6.5)), ANSWER_TIMEOUT).await;
+    assert_eq!(answer, Ok(told(usage(0..3, 6.5))));
+    assert!(is_refused(&client.report(&told(usage(0..3, f64::NAN)), MAX_WAIT).await));
+    assert!(is_refused(&client.swap(&told(usage(0..3, -1.0)), MAX_WAIT).await));
+    stop.cancel();
+}
+
 /// Returns this many streams of one version.
 fn streams(count: u32) -> Segment {
     let (service, version) = ("model".to_owned(), "v1".to_owned());
