Send nothing to the endpoints of evacuated data centres

Operators could not empty a data centre: all gateways kept sending to its endpoints as long as these announced themselves.

Gateways now watch the prefix of all keys that operators write, in place of the configuration alone, with the same two watches. The platform's adapter decodes a key op/evacuate/ZONE; its value does not matter, so an entry whose value can't be decoded counts too. policy::evacuation decides what holds after an outage, after a restore from a copy, for a listing that lacks a key, and for an evacuation that was cancelled lately. An endpoint of an evacuated data centre is no candidate for first attempts, retries, resumed streams and probes. A request whose usable endpoints are all evacuated is refused at once with 503, the outcome evacuated and Retry-After 1.0.

--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -18,6 +18,7 @@
 use crate::criteria::Criteria;
 use crate::demands::Demands;
 use crate::ejections::Ejections;
+use crate::evacuations::Evacuations;
 use crate::history::History;
 use crate::quarantine::start_id;
 use crate::record;
@@ -50,6 +51,8 @@
     /// Sorted by id.
     endpoints: Vec<Tracked>,
     ejections: Ejections,
+    /// What is in force is changed by [`Endpoints::evacuate`] only.
+    pub(crate) evacuations: Evacuations,
     /// How often parts of prompts were seen lately.
     popularity: Popularity,
     /// Requests for each service lately.
@@ -67,6 +70,7 @@
             removed: Removed::default(),
             endpoints: Vec::new(),
             ejections: Ejections::default(),
+            evacuations: Evacuations::new(REANNOUNCE_TIMEOUT),
             popularity: Popularity::default(),
             demands: Demands::default(),
         }
@@ -315,7 +319,9 @@
     /// is dropped.
     pub(crate) fn put(&mut self, endpoint: Endpoint) {
         self.removed.forget(&endpoint.id);
-        match self.find(&endpoint.id) {
+        let is_evacuated = self.evacuations.contains(&endpoint.centre);
+        let index = self.find(&endpoint.id);
+        match index {
             Ok(index) if self.endpoints[index].endpoint.is_same_start(&endpoint) => {
                 let tracked = &mut self.endpoints[index];
                 tracked.endpoint = Arc::new(endpoint);
@@ -324,6 +330,25 @@
             Ok(index) => self.endpoints[index] = Tracked::new(endpoint, self.seed),
             Err(index) => self.endpoints.insert(index, Tracked::new(endpoint, self.seed)),
         }
+        let (Ok(index) | Err(index)) = index;
+        self.endpoints[index].is_evacuated = is_evacuated;
+    }
+
+    /// Changes which data centres are evacuated.
+    pub(crate) fn evacuate(&mut self, change: impl FnOnce(&mut Evacuations), now: Duration) {
+        change(&mut self.evacuations);
+        for tracked in &mut self.endpoints {
+            tracked.is_evacuated = self.evacuations.contains(&tracked.endpoint.centre);
+        }
+        if self.is_loaded {
+            self.evacuations.report(&self.endpoints, now);
+        }
+    }
+
+    /// Whether evacuations alone keep all requests with these criteria from being sent.
+    pub(crate) fn is_evacuated(&self, criteria: &Criteria<'_>) -> bool {
+        let mut usable = self.endpoints.iter().filter(|it| it.is_usable(criteria)).peekable();
+        usable.peek().is_some() && usable.all(|tracked| tracked.is_evacuated)
     }
 
     /// Applies a change to an endpoint if it is known.
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -18,6 +18,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::Routing;
+use crate::operator;
 use crate::peer;
 use crate::peer::Follower;
 use crate::peer::Peers;
@@ -67,26 +68,28 @@
     cancel: CancellationToken,
 ) {
     let routing = peers.routing();
-    let prefix = dialect.table_prefix();
+    let prefix = dialect.operator_prefix();
     let follower = &Follower::default();
-    let table = Watcher { routing, dialect, feed, peers, follower, prefix, kind: Kind::Table };
+    let operator =
+        Watcher { routing, dialect, feed, peers, follower, prefix, kind: Kind::Operator };
     let endpoints =
-        Watcher { prefix: dialect.endpoint_prefix(), kind: Kind::Endpoints, ..table.clone() };
+        Watcher { prefix: dialect.endpoint_prefix(), kind: Kind::Endpoints, ..operator.clone() };
     let sweep = async {
         loop {
             sleep(SWEEP_INTERVAL).await;
             routing.remove_missing();
+            routing.settle_evacuations();
         }
     };
-    let query = query_peers(&table, &endpoints);
-    let all = async { tokio::join!(table.run(), endpoints.run(), sweep, query) };
+    let query = query_peers(&operator, &endpoints);
+    let all = async { tokio::join!(operator.run(), endpoints.run(), sweep, query) };
     cancel.run_until_cancelled(all).await;
 }
 
 /// Fetches from peers the prefixes that can't be read from the store.
-async fn query_peers(table: &Watcher<'_>, endpoints: &Watcher<'_>) {
-    let (routing, peers) = (table.routing, table.peers);
-    peers.mirror().add_prefixes(&[table.prefix, endpoints.prefix]);
+async fn query_peers(operator: &Watcher<'_>, endpoints: &Watcher<'_>) {
+    let (routing, peers) = (operator.routing, operator.peers);
+    peers.mirror().add_prefixes(&[operator.prefix, endpoints.prefix]);
     loop {
         let is_complete = routing.is_complete();
         sleep(if is_complete { PEER_QUERY_INTERVAL } else { FIRST_PEER_QUERY_INTERVAL }).await;
@@ -97,7 +100,7 @@
             continue;
         }
         for snapshot in peer::fetch(peers, &lost).await {
-            let watcher = if snapshot.prefix == table.prefix { table } else { endpoints };
+            let watcher = if snapshot.prefix == operator.prefix { operator } else { endpoints };
             watcher.adopt(&snapshot);
         }
     }
@@ -106,7 +109,8 @@
 /// What the keys under a prefix describe.
 #[derive(Clone, Copy)]
 enum Kind {
-    Table,
+    /// The configuration and evacuations.
+    Operator,
     Endpoints,
 }
 
@@ -167,6 +171,7 @@
                     self.peers.update_mirror(|mirror| mirror.replace(self.prefix, listing, now));
                     let start = Instant::now();
                     let end = self.watch(version).await;
+                    self.suspend();
                     if start.elapsed() >= WATCH_TIMEOUT {
                         backoff = MIN_BACKOFF;
                     }
@@ -247,7 +252,7 @@
 
     /// Applies changes that the store reported some time ago.
     fn apply(&self, change: &Change, age: Duration) {
-        self.apply_change(change);
+        self.apply_change(change, age);
         let answered_at = self.routing.now().saturating_sub(age);
         self.peers.update_mirror(|mirror| mirror.apply(self.prefix, change, answered_at));
     }
@@ -271,7 +276,9 @@
     fn apply_listing(&self, listing: &Listing, after_outage: bool) {
         let Listing { entries, version } = listing;
         match self.kind {
-            Kind::Table => entries.iter().for_each(|entry| self.apply_table(entry)),
+            Kind::Operator => {
+                operator::apply_listing(self.routing, self.dialect, listing, after_outage);
+            }
             Kind::Endpoints => {
                 let announced = entries.iter().filter_map(|entry| self.endpoint(entry));
                 let restores = version::restores(*version);
@@ -280,37 +287,21 @@
         }
     }
 
-    /// Applies changes of keys.
-    fn apply_change(&self, change: &Change) {
-        for entry in &change.entries {
-            match self.kind {
-                Kind::Table => self.apply_table(entry),
-                Kind::Endpoints => self.apply_endpoint(entry),
-            }
-        }
-        for key in &change.removed {
-            match self.kind {
-                Kind::Table => {
-                    log::warn!(key = key.as_str();
-                        "the configuration was removed; the last one stays in force")
-                }
-                Kind::Endpoints => self.remove_endpoint(key),
+    /// Applies changes of keys that the store reported some time ago.
+    fn apply_change(&self, change: &Change, age: Duration) {
+        match self.kind {
+            Kind::Operator => operator::apply_change(self.routing, self.dialect, change, age),
+            Kind::Endpoints => {
+                change.entries.iter().for_each(|entry| self.apply_endpoint(entry));
+                change.removed.iter().for_each(|key| self.remove_endpoint(key));
             }
         }
     }
 
-    /// Puts a configuration in force if it can be decoded and is newer.
-    fn apply_table(&self, entry: &Entry) {
-        if entry.key != self.prefix {
-            return;
-        }
-        match self.dialect.table(&entry.value) {
-            Ok(table) => {
-                let (version, routes) = (table.version(), table.len());
-                let is_newer = self.routing.set_table(table);
-                log::info!(version, routes, revision = entry.version, is_newer; "configuration");
-            }
-            Err(error) => log::error!(revision = entry.version; "{error}"),
+    /// Records that a watch has ended: until all keys are read again, no evacuation ends.
+    fn suspend(&self) {
+        if matches!(self.kind, Kind::Operator) {
+            self.routing.suspend_evacuations();
         }
     }
 
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -204,9 +204,11 @@
     if let Some(left) = routing.limited_for(&criteria) {
         return Refusal::Limited(left);
     }
-    // Those that were tried may be the ones that want no requests.
-    match routing.paused_for(&Criteria { tried: &[], ..criteria }) {
+    // Those that were tried may be the ones that want no requests, or may have been evacuated since.
+    let criteria = Criteria { tried: &[], ..criteria };
+    match routing.paused_for(&criteria) {
         Some(left) => Refusal::Paused(left),
+        None if routing.is_evacuated(&criteria) => Refusal::Evacuated,
         None if attempts.version.is_some() && attempts.tried.is_empty() => Refusal::NoVersion,
         None => Refusal::NotRun,
     }
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -2,13 +2,17 @@
 //!
 //! `docs/METRICS.md` lists the metrics.
 
+use std::time::Duration;
+
 use metrics::counter;
 use metrics::gauge;
 use metrics::histogram;
+use policy::evacuation::Change;
 use policy::quarantine::Block;
 use route::Endpoint;
 use route::Reply;
 use route::Version;
+use services::version;
 
 use crate::attempt::Outcome;
 use crate::forward::Attempts;
@@ -180,6 +184,57 @@
     gauge!("lycheeknot_gateway_quarantines").set(blocks as f64);
 }
 
+/// Records that an evacuation begins or ends, determined by a version of the store that was told some
+/// time ago. `lasted` is how long it was in force.
+pub(crate) fn evacuation(
+    change: &Change,
+    version: version::Version,
+    age: Duration,
+    lasted: Duration,
+) {
+    let (centre, age_ms) = (&*change.centre, age.as_millis() as u64);
+    let cause = change.cause.name();
+    if change.is_evacuated {
+        log::warn!(centre, version, age_ms, cause; "evacuation begins");
+    } else {
+        let lasted_ms = lasted.as_millis() as u64;
+        log::warn!(centre, version, age_ms, cause, lasted_ms; "evacuation ends");
+        evacuation_progress(centre, Duration::ZERO, 0);
+    }
+}
+
+/// Records how many data centres are evacuated.
+pub(crate) fn evacuations(centres: usize) {
+    gauge!("lycheeknot_gateway_evacuations").set(centres as f64);
+}
+
+/// Records for how long a data centre has been evacuated, and the requests of this gateway that are
+/// still in flight there.
+pub(crate) fn evacuation_progress(centre: &str, lasted: Duration, requests: u32) {
+    gauge!("lycheeknot_gateway_evacuated_seconds", "centre" => centre.to_owned())
+        .set(lasted.as_secs_f64());
+    gauge!("lycheeknot_gateway_evacuated_requests", "centre" => centre.to_owned())
+        .set(f64::from(requests));
+}
+
+/// Records the endpoints of an evacuated data centre, and the requests of this gateway there, once
+/// the endpoints are known.
+pub(crate) fn evacuated_endpoints(centre: &str, endpoints: usize, requests: u32) {
+    match endpoints {
+        0 => log::warn!(centre; "an evacuated data centre has no endpoint; check its name"),
+        _ => log::info!(centre, endpoints, requests; "evacuated endpoints"),
+    }
+}
+
+/// Records that all endpoints are in evacuated data centres from now on, or no longer are.
+pub(crate) fn total_evacuation(is_total: bool, centres: usize, endpoints: usize) {
+    match is_total {
+        true => log::error!(centres, endpoints;
+            "all endpoints are evacuated and all requests are refused; end an evacuation"),
+        false => log::info!(centres, endpoints; "not all endpoints are evacuated any more"),
+    }
+}
+
 /// Counts a call for changes of the store's keys.
 pub(crate) fn changes(is_relayed: bool) {
     let source = if is_relayed { "relay" } else { "store" };
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -30,6 +30,8 @@
     Limited(Duration),
     /// all endpoints have asked for no requests for a while; it did not run, come back later
     Paused(Duration),
+    /// all endpoints are in data centres that are evacuated; it did not run, come back later
+    Evacuated,
     /// it or a part of its prompt has crashed endpoints; it did not run, send another one
     Quarantined(Duration),
     /// it is not known which software version began the stream; it did not run, begin anew
@@ -50,6 +52,10 @@
 /// about a second.
 const VERSION_RETRY_DELAY: Duration = Duration::from_millis(1_000);
 
+/// The same while all data centres of a service are evacuated. Nobody knows when operators will end
+/// that; a client that comes back each second is served about a second after the end.
+const EVACUATION_RETRY_DELAY: Duration = Duration::from_millis(1_000);
+
 impl Refusal {
     /// Returns its label in logs and metrics.
     pub(crate) fn name(self) -> &'static str {
@@ -63,6 +69,7 @@
             Refusal::NotRun => "not_run",
             Refusal::Limited(_) => "limited",
             Refusal::Paused(_) => "paused",
+            Refusal::Evacuated => "evacuated",
             Refusal::Quarantined(_) => "quarantined",
             Refusal::UnknownVersion => "unknown_version",
             Refusal::NoVersion => "no_version",
@@ -79,6 +86,7 @@
             | Refusal::NotRun
             | Refusal::Limited(_)
             | Refusal::Paused(_)
+            | Refusal::Evacuated
             | Refusal::Quarantined(_)
             | Refusal::UnknownVersion
             | Refusal::NoVersion => StatusCode::SERVICE_UNAVAILABLE,
@@ -96,6 +104,7 @@
         match self {
             Refusal::Limited(left) | Refusal::Paused(left) | Refusal::Quarantined(left) => left,
             Refusal::UnknownVersion | Refusal::NoVersion => VERSION_RETRY_DELAY,
+            Refusal::Evacuated => EVACUATION_RETRY_DELAY,
             _ => RETRY_DELAY,
         }
     }
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -23,11 +23,14 @@
 use route::Reply;
 use route::Table;
 use route::reply::Load;
+use services::version::Version;
 use tokio::time::sleep;
 
 use crate::criteria::Choice;
 use crate::criteria::Criteria;
 use crate::endpoints::Endpoints;
+use crate::evacuations::Evacuations;
+use crate::evacuations::News;
 use crate::origins::Origins;
 use crate::quarantine::Quarantine;
 
@@ -170,6 +173,37 @@
         self.endpoints.lock().remove_missing(self.now());
     }
 
+    /// Applies news of evacuations that the store gave some time ago, at a version of it.
+    pub fn update_evacuations(&self, news: News, version: Version, age: Duration) {
+        let now = self.now();
+        let apply = |it: &mut Evacuations| it.apply(news, version, age, now);
+        self.endpoints.lock().evacuate(apply, now);
+    }
+
+    /// Records that the store can't be read: until it can be again, no evacuation ends.
+    pub(crate) fn suspend_evacuations(&self) {
+        self.endpoints.lock().evacuations.suspend();
+    }
+
+    /// Ends evacuations whose grace time is over, and records the progress of the others.
+    pub(crate) fn settle_evacuations(&self) {
+        let now = self.now();
+        let mut endpoints = self.endpoints.lock();
+        if !endpoints.evacuations.is_empty() {
+            endpoints.evacuate(|evacuations| evacuations.settle(now), now);
+        }
+    }
+
+    /// Returns the evacuated data centres, sorted.
+    pub fn evacuated(&self) -> Vec<Arc<str>> {
+        self.endpoints.lock().evacuations.centres()
+    }
+
+    /// Whether evacuations alone keep all requests with these criteria from being sent.
+    pub(crate) fn is_evacuated(&self, criteria: &Criteria<'_>) -> bool {
+        self.endpoints.lock().is_evacuated(criteria)
+    }
+
     /// Chooses the endpoint of a request, and counts the request as in flight there until
     /// [`Routing::request_ended`] is called.
     pub(crate) fn choose(&self, criteria: &Criteria<'_>) -> Option<Choice> {
--- a/crates/gateway/src/tracked.rs
+++ b/crates/gateway/src/tracked.rs
@@ -25,6 +25,8 @@
     pub(crate) limiter: Limiter,
     /// State that it has reported in its responses.
     pub(crate) notice: Notice,
+    /// Whether its data centre is evacuated.
+    pub(crate) is_evacuated: bool,
 }
 
 impl Tracked {
@@ -38,6 +40,7 @@
             missing_until: None,
             is_replaced: false,
             notice: Notice::default(),
+            is_evacuated: false,
         }
     }
 
@@ -59,6 +62,12 @@
 
     /// Whether a request with these criteria may be sent to it once it is no longer paused.
     pub(crate) fn is_suitable(&self, criteria: &Criteria<'_>) -> bool {
+        !self.is_evacuated && self.is_usable(criteria)
+    }
+
+    /// Whether a request with these criteria may be sent to it once it is no longer paused and its
+    /// data centre is not evacuated.
+    pub(crate) fn is_usable(&self, criteria: &Criteria<'_>) -> bool {
         let endpoint = &self.endpoint;
         *endpoint.service == *criteria.service
             && endpoint.state == State::Ready
--- a/crates/gateway/tests/feed.rs
+++ b/crates/gateway/tests/feed.rs
@@ -56,7 +56,7 @@
 impl Feed for Script {
     fn scan<'a>(&'a self, prefix: &'a str) -> LocalBoxFuture<'a, Result<Listing, Error>> {
         let answer = match prefix {
-            "op/config" => listed(vec![table(self.tables.borrow()[0])]),
+            "op/" => listed(vec![table(self.tables.borrow()[0])]),
             _ => match self.scans.borrow_mut().pop_front() {
                 Some(answer) => answer,
                 None => return std::future::pending().boxed_local(),
@@ -72,7 +72,7 @@
         _: Duration,
     ) -> LocalBoxFuture<'a, Result<Change, Error>> {
         let answer = match prefix {
-            "op/config" => {
+            "op/" => {
                 let mut tables = self.tables.borrow_mut();
                 tables.pop_front().filter(|_| !tables.is_empty()).map(|_| {
                     let version = tables[0];
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -48,7 +48,7 @@
     fn listing(&self, prefix: &str) -> Result<Listing, Error> {
         let version = self.version.borrow().ok_or_else(|| Error::Down("reset".to_owned()))?;
         let entry = match prefix {
-            "op/config" => table(version),
+            "op/" => table(version),
             _ => announced(&format!("e{version}"), "ready"),
         };
         Ok(Listing { entries: vec![entry], version })
--- a/crates/gateway/tests/relays.rs
+++ b/crates/gateway/tests/relays.rs
@@ -58,7 +58,7 @@
         self.calls.set(self.calls.get() + 1);
         let version = self.version.get().ok_or_else(|| Error::Down("reset".to_owned()))?;
         let mut entry = match prefix {
-            "op/config" => table(version),
+            "op/" => table(version),
             _ => announced(&format!("e{version}"), "ready"),
         };
         entry.version = version;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod candidate;
 pub mod choice;
 pub mod claim;
+pub mod evacuation;
 pub mod exchange;
 pub mod fair;
 pub mod gate;
--- a/crates/route/src/dialect.rs
+++ b/crates/route/src/dialect.rs
@@ -7,6 +7,7 @@
 use http::HeaderMap;
 
 use crate::Endpoint;
+use crate::Evacuation;
 use crate::Metadata;
 use crate::Reply;
 use crate::Table;
@@ -14,8 +15,11 @@
 /// Decodes requests, responses, announcements and configurations of an external system, and
 /// encodes the headers that endpoints are sent. It makes no decisions.
 pub trait Dialect: Send + Sync {
-    /// Returns the prefix to watch for the configuration; it is also the configuration's key.
-    fn table_prefix(&self) -> &str;
+    /// Returns the prefix of the keys that operators write: the configuration and evacuations.
+    fn operator_prefix(&self) -> &str;
+
+    /// Returns the key of the configuration, which starts with [`Dialect::operator_prefix`].
+    fn table_key(&self) -> &str;
 
     /// Returns the prefix of the keys under which endpoints announce themselves in the store.
     fn endpoint_prefix(&self) -> &str;
@@ -27,6 +31,11 @@
     /// [`Malformed`] if it can't be decoded; the previous configuration stays in force then.
     fn table(&self, value: &[u8]) -> Result<Table, Malformed>;
 
+    /// Decodes the evacuation that a key of an operator asks for; `None` if the key asks for none.
+    ///
+    /// The key alone counts; what is wrong with the value is told in [`Evacuation::fault`].
+    fn evacuation(&self, key: &str, value: &[u8]) -> Option<Evacuation>;
+
     /// Decodes the announcement of an endpoint from its key and value in the store.
     ///
     /// # Errors
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod account;
 pub mod dialect;
 pub mod endpoint;
+pub mod evacuation;
 pub mod metadata;
 pub mod reply;
 pub mod rule;
@@ -16,6 +17,7 @@
 pub use account::Account;
 pub use dialect::Dialect;
 pub use endpoint::Endpoint;
+pub use evacuation::Evacuation;
 pub use metadata::Metadata;
 pub use metadata::Part;
 pub use reply::Reply;
