Test requests and streams while a data centre is evacuated

The tests guard first attempts, retries, probes of ejected endpoints, endpoints that are announced meanwhile, streams that run or break off there, copies of prompt prefixes, the refusal of a service without other endpoints, and the metrics.

--- a/crates/gateway/tests/sessions/main.rs
+++ b/crates/gateway/tests/sessions/main.rs
@@ -3,6 +3,7 @@
 mod copies;
 mod crashes;
 mod endless;
+mod evacuations;
 mod heads;
 mod limits;
 mod loads;
--- a/crates/gateway/tests/sessions/support/fixture.rs
+++ b/crates/gateway/tests/sessions/support/fixture.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use gateway::Context;
+use gateway::News;
 use gateway::Routing;
 use platform::Codec;
 use route::Dialect;
@@ -66,6 +67,25 @@
         self.routing.set_endpoint(decode(service, endpoint, "ready", version, 5));
     }
 
+    /// Announces an endpoint of another data centre.
+    pub fn announce_in(&self, service: &str, endpoint: &Endpoint, centre: &str) {
+        let announced = decode(service, endpoint, "ready", "v1", 5);
+        self.routing.set_endpoint(route::Endpoint { centre: Arc::from(centre), ..announced });
+    }
+
+    /// Tells the gateway that operators evacuate a data centre.
+    pub fn evacuate(&self, centre: &str) {
+        let key = format!("op/evacuate/{centre}");
+        let evacuation = Codec.evacuation(&key, b"{}").expect("an evacuation");
+        self.routing.update_evacuations(News::Written(evacuation, 9), 9, Duration::ZERO);
+    }
+
+    /// Tells the gateway that operators have ended an evacuation.
+    pub fn end_evacuation(&self, centre: &str) {
+        let news = News::Removed(Arc::from(centre));
+        self.routing.update_evacuations(news, 10, Duration::ZERO);
+    }
+
     /// Announces to the gateway that an endpoint accepts no new requests.
     pub fn set_draining(&self, service: &str, endpoint: &Endpoint) {
         self.routing.set_endpoint(decode(service, endpoint, "draining", "v1", 5));
