Spread requests by what other gateways are expected to have sent

A gateway now reckons with the requests that the others have sent since, and draws an endpoint in proportion to what it is below the level that these fill up to.

Switched on by endpoints.spread_stale_loads.

--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -10,6 +10,7 @@
 use policy::observation::Observations;
 use policy::outlier::Outliers;
 use policy::popularity::Popularity;
+use policy::rate_limit::SPAN;
 use policy::rate_limit::Usage;
 use route::Endpoint;
 use route::Reply;
@@ -34,6 +35,10 @@
 /// leaving may get requests.
 const REMOVAL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Mean age of the loads of other gateways when they are used: each report waits for up to an interval
+/// of 250 ms at its gateway, at the relay and at the gateway that learns of it.
+const LOAD_AGE: Duration = Duration::from_millis(400);
+
 /// The known endpoints, their occupancy and outlier ejection.
 #[derive(Debug)]
 pub(crate) struct Endpoints {
@@ -54,6 +59,8 @@
     popularity: Popularity,
     /// Requests for each service lately.
     demands: Demands,
+    /// Whether requests are spread by what other gateways are expected to have sent.
+    pub(crate) spreads_stale_loads: bool,
 }
 
 impl Endpoints {
@@ -69,6 +76,7 @@
             ejections: Ejections::default(),
             popularity: Popularity::default(),
             demands: Demands::default(),
+            spreads_stale_loads: false,
         }
     }
 
@@ -176,9 +184,12 @@
         }
         let endpoint = match self.choose_probe(criteria, now) {
             Some(probed) => probed,
-            None => self.selection().best(criteria, now)?,
+            None => {
+                let unseen = self.unseen(criteria.service, gateways, now);
+                self.selection(unseen).best(criteria, now)?
+            }
         };
-        let copy_from = self.selection().copy_source(criteria, &endpoint);
+        let copy_from = self.selection(0.0).copy_source(criteria, &endpoint);
         self.update(&endpoint.id, |tracked| {
             tracked.occupancy.record_sent();
             tracked.limiter.record_sent(now);
@@ -344,12 +355,23 @@
     }
 
     /// Returns what an endpoint is selected from.
-    fn selection(&self) -> Selection<'_> {
+    fn selection(&self, unseen: f64) -> Selection<'_> {
         Selection {
             endpoints: &self.endpoints,
             ejections: &self.ejections,
             popularity: &self.popularity,
+            unseen,
+        }
+    }
+
+    /// Returns how many requests the other gateways are expected to have sent to a service since their
+    /// loads were known here. They are taken to have as many as this gateway.
+    fn unseen(&self, service: &str, gateways: u32, now: Duration) -> f64 {
+        if !self.spreads_stale_loads {
+            return 0.0;
         }
+        let own_rate = f64::from(self.demands.count(service, now)) / SPAN.as_secs_f64();
+        own_rate * f64::from(gateways.saturating_sub(1)) * LOAD_AGE.as_secs_f64()
     }
 
     /// Chooses an ejected endpoint that is due for a probe. No other request probes it at the same
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -62,6 +62,14 @@
 }
 
 impl Routing {
+    /// Returns the value with requests spread by what other gateways are expected to have sent since
+    /// their loads were known.
+    #[must_use]
+    pub fn with_spread_stale_loads(self) -> Routing {
+        self.endpoints.lock().spreads_stale_loads = true;
+        self
+    }
+
     /// Returns the time since this value was created. All times of endpoints, locations and the
     /// [`crate::Mirror`] are given by this clock.
     pub fn now(&self) -> Duration {
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -23,6 +23,9 @@
     pub(crate) endpoints: &'a [Tracked],
     pub(crate) ejections: &'a Ejections,
     pub(crate) popularity: &'a Popularity,
+    /// Requests that other gateways are expected to have sent to the service since their loads were
+    /// known; 0 if that isn't reckoned with.
+    pub(crate) unseen: f64,
 }
 
 impl Selection<'_> {
@@ -51,6 +54,7 @@
             part: criteria.part.map(|part| part.id),
             tokens: criteria.part.map_or(0, |part| part.tokens),
             share: criteria.part.map_or(0.0, |part| self.popularity.share(part.id, now)),
+            unseen: self.unseen,
             seed: criteria.seed,
         };
         let first = choice::order(&query, &candidates).into_iter().next()?;
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -14,6 +14,8 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::spread;
+
 /// Endpoints are preferred for the reuse of short parts up to this multiple of
 /// the mean load. It is below the operators' load bound, since known loads lag.
 const SHORT_PART_LOAD_MULTIPLE: f64 = 1.4;
@@ -72,6 +74,9 @@
     pub tokens: u32,
     /// Share of recent requests that have the part, from 0 to 1.
     pub share: f64,
+    /// Requests that other gateways are expected to have sent since the loads were known, or 0 to
+    /// take the loads as current.
+    pub unseen: f64,
     /// Random bits, which break ties between equally loaded endpoints.
     pub seed: u64,
 }
@@ -89,6 +94,11 @@
     order.sort_by(|left, right| {
         load(left).total_cmp(&load(right)).then_with(|| tie_break(left).cmp(&tie_break(right)))
     });
+    // Without requests that aren't seen yet, the least loaded endpoint stays first.
+    let loads: Vec<f64> = (0..candidates.len()).map(|index| load(&index)).collect();
+    if let Some(drawn) = spread::draw(&loads, query.unseen, query.seed) {
+        move_to_front(drawn, &mut order);
+    }
     if let Some(preferred) = preferred(query, candidates) {
         move_to_front(preferred, &mut order);
     }
--- a/crates/policy/tests/choice.rs
+++ b/crates/policy/tests/choice.rs
@@ -22,7 +22,7 @@
 }
 
 fn query(part: Option<u64>, tokens: u32) -> Query {
-    Query { part, tokens, share: 0.0, seed: 7 }
+    Query { part, tokens, share: 0.0, unseen: 0.0, seed: 7 }
 }
 
 fn first(query: &Query, candidates: &[Candidate<'_>]) -> String {
--- a/crates/settings/tests/gateway.rs
+++ b/crates/settings/tests/gateway.rs
@@ -58,6 +58,7 @@
                 retry_ratio: 0.2,
                 retry_slack: 58.0,
                 processes: 8,
+                spread_stale_loads: false,
                 stop_notice: 2.6s,
                 stop_grace: 5s,
             }
@@ -122,6 +123,7 @@
         key::GATEWAY_PLATFORM,
         key::GATEWAY_LIMIT,
         key::GATEWAY_RETRY,
+        key::GATEWAY_ENDPOINTS,
     ];
     for name in sections.concat() {
         assert!(section.contains(&format!("\n{name} = ")), "{name}");
