Avoid endpoints that fail a share of their requests

Callers of routes with one attempt lost a third of their requests while most endpoints of a service failed 45 in 100 of theirs for 4 s. Ejection needs three consecutive failures at one gateway, ejects a third of the endpoints at most and ends with one success.

Gateways now count answers and failures of each endpoint start over 3 s and exchange the counts of endpoints that failed lately. An endpoint whose share is clearly above that of the best ones gets no requests while sound endpoints have room, except a few that can be sent elsewhere if they fail.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -52,7 +52,7 @@
         TcpListener::bind(settings.clients).map_err(|error| Error::Listen("clients", error))?;
     let source = Source { recorder: recorder.clone(), readiness: readiness.clone() };
     let admin = admin::start(settings.admin, source)?;
-    let routing = Arc::new(Routing::default());
+    let routing = Arc::new(routing(&settings));
     ntex::rt::spawn(recorder.upkeep(stop_background.clone()));
     let member = Member {
         vm: settings.vm.clone(),
@@ -101,6 +101,15 @@
     readiness.block(Reason::Stopping);
 }
 
+/// Returns the routing with the parts that are switched on.
+fn routing(settings: &Gateway) -> Routing {
+    let mut routing = Routing::default();
+    if settings.share_failures {
+        routing = routing.with_shared_failures();
+    }
+    routing
+}
+
 fn context(settings: &Gateway, routing: Arc<Routing>, stop: CancellationToken) -> Context {
     Context {
         dialect: Arc::new(Codec),
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -81,7 +81,12 @@
 ) -> Outcome {
     let in_flight = InFlight::new(&worker.context.routing, &choice.endpoint.id);
     let exchange = exchange(worker, request, choice, last_event, is_repeated, in_flight);
+    let sent = Instant::now();
     let Ok(outcome) = timeout_at(request.deadline, exchange).await else {
+        // An attempt that began late may have had too little time.
+        if sent.elapsed() * 2 >= request.deadline - request.start {
+            worker.context.routing.record_silence(&choice.endpoint);
+        }
         return Outcome::TimedOut;
     };
     outcome
--- a/crates/gateway/src/criteria.rs
+++ b/crates/gateway/src/criteria.rs
@@ -24,6 +24,8 @@
     pub(crate) part: Option<Part>,
     /// Whether the request may be used to probe an ejected endpoint.
     pub(crate) can_probe: bool,
+    /// Whether the request can be sent to another endpoint if it fails at this one.
+    pub(crate) can_fail: bool,
     /// The present time, by the clock of the routing.
     pub(crate) now: Duration,
     /// Random bits that break ties between endpoints.
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -7,6 +7,7 @@
 
 use policy::exchange;
 use policy::exchange::Sheet;
+use policy::failure_rate::Trials;
 use policy::observation::Observations;
 use policy::outlier::Outliers;
 use policy::popularity::Popularity;
@@ -18,6 +19,8 @@
 use crate::criteria::Criteria;
 use crate::demands::Demands;
 use crate::ejections::Ejections;
+use crate::failures::End;
+use crate::failures::Failures;
 use crate::history::History;
 use crate::quarantine::start_id;
 use crate::record;
@@ -54,6 +57,7 @@
     popularity: Popularity,
     /// Requests for each service lately.
     demands: Demands,
+    pub(crate) failures: Failures,
 }
 
 impl Endpoints {
@@ -69,6 +73,7 @@
             ejections: Ejections::default(),
             popularity: Popularity::default(),
             demands: Demands::default(),
+            failures: Failures::default(),
         }
     }
 
@@ -176,7 +181,7 @@
         }
         let endpoint = match self.choose_probe(criteria, now) {
             Some(probed) => probed,
-            None => self.selection().best(criteria, now)?,
+            None => self.choose_sound(criteria, gateways, now)?,
         };
         let copy_from = self.selection().copy_source(criteria, &endpoint);
         self.update(&endpoint.id, |tracked| {
@@ -186,6 +191,28 @@
         Some(Choice { endpoint, copy_from })
     }
 
+    /// Chooses the best endpoint, or a failing one whose recovery is to be noticed.
+    fn choose_sound(
+        &mut self,
+        criteria: &Criteria<'_>,
+        gateways: u32,
+        now: Duration,
+    ) -> Option<Arc<Endpoint>> {
+        let trials = Trials { gateways, seed: self.seed ^ criteria.seed };
+        self.failures.judge(&mut self.endpoints, criteria.service, trials, now);
+        let Some(failing) = self.selection().trial(criteria, now) else {
+            return self.selection().best(criteria, now);
+        };
+        self.update(&failing.id, |tracked| tracked.tally.record_trial(trials.interval(), now));
+        record::trial(&failing.service);
+        Some(failing)
+    }
+
+    /// Counts how a request ended at an endpoint.
+    pub(crate) fn record_end(&mut self, endpoint: &Endpoint, end: End, now: Duration) {
+        self.update(&endpoint.id, |tracked| tracked.record_end(endpoint, end, now));
+    }
+
     /// Records the end of a request at an endpoint.
     pub(crate) fn request_ended(&mut self, id: &str) {
         self.update(id, |tracked| tracked.occupancy.record_ended());
@@ -266,18 +293,20 @@
     }
 
     /// Returns what this gateway has observed of endpoints.
-    pub(crate) fn own_observations(&self, _now: Duration) -> Observations {
-        Observations::default()
+    pub(crate) fn own_observations(&self, now: Duration) -> Observations {
+        let failures = self.failures.sheet(&self.endpoints, now);
+        Observations { failures, ..Observations::default() }
     }
 
     /// Records what the other gateways have observed of endpoints, and the number of these
     /// gateways.
     pub(crate) fn set_other_observations(
         &mut self,
-        _observations: &Observations,
+        observations: &Observations,
         _gateways: u32,
-        _now: Duration,
+        now: Duration,
     ) {
+        self.failures.learn(&mut self.endpoints, &observations.failures, now);
     }
 
     /// Returns the requests that this gateway has in flight at endpoints.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -188,6 +188,7 @@
         tried: &attempts.tried,
         part: request.metadata.shared_part(),
         can_probe: request.rule.kind.is_repeatable() || seed % PROBE_ONE_IN == 0,
+        can_fail: can_repeat(worker, request, attempts),
         now: worker.context.routing.now(),
         seed,
     }
@@ -219,6 +220,13 @@
         && worker.spend_retry(&request.service)
 }
 
+/// Whether a request may be sent once more if the next attempt fails, as far as is known now.
+fn can_repeat(worker: &Worker, request: &Request, attempts: &Attempts) -> bool {
+    request.rule.kind.is_repeatable()
+        && attempts.sent + 1 < request.rule.attempts
+        && worker.has_retry(&request.service)
+}
+
 impl Attempts {
     /// Returns the response to the client after all attempts have failed.
     fn result(&mut self) -> Result<Response, Refusal> {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod ejections;
 mod endpoints;
 mod events;
+mod failures;
 mod feed;
 mod forward;
 mod framing;
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -2,9 +2,12 @@
 //!
 //! `docs/METRICS.md` lists the metrics.
 
+use std::time::Duration;
+
 use metrics::counter;
 use metrics::gauge;
 use metrics::histogram;
+use policy::failure_rate::Change;
 use policy::quarantine::Block;
 use route::Endpoint;
 use route::Reply;
@@ -168,6 +171,28 @@
         .increment(1);
 }
 
+/// Records that an endpoint is taken for failing from now on, or no longer is. `age` is the time
+/// since the counts of the other gateways came.
+pub(crate) fn failing(endpoint: &Endpoint, change: &Change, age: Duration) {
+    let Change { own, others, best, .. } = change;
+    log::warn!(endpoint = &*endpoint.id, address:% = endpoint.address, service = &*endpoint.service,
+        is_failing = change.is_failing, own_failures = own.failures, own_requests = own.requests,
+        others_failures = others.failures, others_requests = others.requests,
+        others_age_ms = age.as_millis() as u64, best_share = *best;
+        "endpoint failures");
+}
+
+/// Records how many endpoints of a service are taken for failing.
+pub(crate) fn failing_endpoints(service: &str, failing: usize) {
+    gauge!("lycheeknot_gateway_failing_endpoints", "service" => service.to_owned())
+        .set(failing as f64);
+}
+
+/// Records that a request is sent to an endpoint that is taken for failing.
+pub(crate) fn trial(service: &str) {
+    counter!("lycheeknot_gateway_trials_total", "service" => service.to_owned()).increment(1);
+}
+
 /// Records that requests with certain parts of prompts are refused from now on, or no longer are.
 pub(crate) fn block(block: &Block, is_new: bool) {
     let names: Vec<String> = block.parts.iter().map(|part| format!("{part:x}")).collect();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -180,7 +180,7 @@
     async fn resume(&mut self, cause: &str) -> bool {
         let Some(source) = self.source.take() else { return false };
         let worker = Rc::clone(&self.worker);
-        worker.context.routing.record_failure(&source.endpoint);
+        worker.context.routing.record_broken_stream(&source.endpoint);
         let begun = Some(source.begun.elapsed());
         let is_repeated = self.attempts.has_broken_off;
         crash_check::start(&worker, &self.request, &source.endpoint, begun, is_repeated);
@@ -204,7 +204,7 @@
             self.attempts.sent += 1;
             if let Outcome::Stream(start) = outcome {
                 if !self.fits(&start) {
-                    worker.context.routing.record_failure(&start.endpoint);
+                    worker.context.routing.record_broken_stream(&start.endpoint);
                     log::warn!(id = self.request.id(), endpoint = &*start.endpoint.id;
                         "a response of another content type can't go on with the stream");
                     continue;
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -28,6 +28,7 @@
 use crate::criteria::Choice;
 use crate::criteria::Criteria;
 use crate::endpoints::Endpoints;
+use crate::failures::End;
 use crate::origins::Origins;
 use crate::quarantine::Quarantine;
 
@@ -62,6 +63,14 @@
 }
 
 impl Routing {
+    /// Returns the value with failures of endpoints counted, shared with the other gateways, and
+    /// used for the choice of endpoints.
+    #[must_use]
+    pub fn with_shared_failures(self) -> Routing {
+        self.endpoints.lock().failures.is_shared = true;
+        self
+    }
+
     /// Returns the time since this value was created. All times of endpoints, locations and the
     /// [`crate::Mirror`] are given by this clock.
     pub fn now(&self) -> Duration {
@@ -303,12 +312,31 @@
     /// Records a successful response of an endpoint and its latency.
     pub(crate) fn record_success(&self, endpoint: &Endpoint, latency: Duration) {
         let now = self.now();
-        self.endpoints.lock().outliers(&endpoint.service).record_answer(&endpoint.id, latency, now);
+        let mut endpoints = self.endpoints.lock();
+        endpoints.record_end(endpoint, End::Answered, now);
+        endpoints.outliers(&endpoint.service).record_answer(&endpoint.id, latency, now);
     }
 
     /// Records a failure of an endpoint. Returns whether the endpoint is ejected for it.
     pub(crate) fn record_failure(&self, endpoint: &Endpoint) -> bool {
+        self.record_bad_end(endpoint, End::Failed)
+    }
+
+    /// Records that a stream broke off after [`Routing::record_success`] was called for it.
+    pub(crate) fn record_broken_stream(&self, endpoint: &Endpoint) {
+        self.record_bad_end(endpoint, End::Broken);
+    }
+
+    /// Records that an endpoint has sent nothing to a request for long. That is no ground to eject
+    /// it, as the request may be one that takes long.
+    pub(crate) fn record_silence(&self, endpoint: &Endpoint) {
+        self.endpoints.lock().record_end(endpoint, End::Failed, self.now());
+    }
+
+    fn record_bad_end(&self, endpoint: &Endpoint, end: End) -> bool {
         let now = self.now();
-        self.endpoints.lock().outliers(&endpoint.service).record_failure(&endpoint.id, now)
+        let mut endpoints = self.endpoints.lock();
+        endpoints.record_end(endpoint, end, now);
+        endpoints.outliers(&endpoint.service).record_failure(&endpoint.id, now)
     }
 }
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use policy::choice;
+use policy::failure_rate;
 use policy::popularity::Popularity;
 use route::Endpoint;
 
@@ -28,10 +29,8 @@
 impl Selection<'_> {
     /// Chooses the best endpoint for a request among those that aren't ejected.
     pub(crate) fn best(&self, criteria: &Criteria<'_>, now: Duration) -> Option<Arc<Endpoint>> {
-        let available: Vec<&Tracked> =
-            self.endpoints.iter().filter(|tracked| tracked.is_available(criteria)).collect();
-        let mut healthy = self.ejections.without_ejected(criteria.service, available, now);
-        healthy.retain(|tracked| tracked.limiter.allows());
+        let mut healthy = self.healthy(criteria, now);
+        self.retain_sound(&mut healthy, criteria, now);
         let is_free =
             |tracked: &&Tracked| criteria.prefers(&tracked.endpoint) && tracked.has_free_slot(now);
         if healthy.iter().any(is_free) {
@@ -57,6 +56,51 @@
         Some(Arc::clone(&healthy[first].endpoint))
     }
 
+    /// Returns a failing endpoint to which this request is sent, so that its recovery is noticed.
+    /// The request has to be one that can be sent to another endpoint if it fails.
+    pub(crate) fn trial(&self, criteria: &Criteria<'_>, now: Duration) -> Option<Arc<Endpoint>> {
+        let is_due =
+            |tracked: &Tracked| tracked.tally.is_trial_due(now) && tracked.has_free_slot(now);
+        if !criteria.can_fail || !self.endpoints.iter().any(is_due) {
+            return None;
+        }
+        let healthy = self.healthy(criteria, now);
+        let due = healthy.into_iter().find(|tracked| is_due(tracked));
+        due.map(|tracked| Arc::clone(&tracked.endpoint))
+    }
+
+    /// Returns the endpoints to which a request may be sent now and that aren't ejected.
+    fn healthy(&self, criteria: &Criteria<'_>, now: Duration) -> Vec<&Tracked> {
+        let available: Vec<&Tracked> =
+            self.endpoints.iter().filter(|tracked| tracked.is_available(criteria)).collect();
+        let mut healthy = self.ejections.without_ejected(criteria.service, available, now);
+        healthy.retain(|tracked| tracked.limiter.allows());
+        healthy
+    }
+
+    /// Leaves out failing endpoints as long as others have room. If none has, all stay.
+    fn retain_sound(&self, healthy: &mut Vec<&Tracked>, criteria: &Criteria<'_>, now: Duration) {
+        if !healthy.iter().any(|tracked| tracked.tally.is_failing()) {
+            return;
+        }
+        let service = self.endpoints.iter().filter(|tracked| {
+            *tracked.endpoint.service == *criteria.service && tracked.takes_requests()
+        });
+        let loads: Vec<f64> = service.map(|tracked| tracked.occupancy.requests(now)).collect();
+        let mean = loads.iter().sum::<f64>() / loads.len().max(1) as f64;
+        let loads: Vec<failure_rate::Load> = healthy
+            .iter()
+            .map(|tracked| failure_rate::Load {
+                requests: tracked.occupancy.requests(now),
+                has_free_slot: tracked.has_free_slot(now),
+                is_failing: tracked.tally.is_failing(),
+            })
+            .collect();
+        if let Some(sound) = failure_rate::sound(&loads, mean, criteria.seed) {
+            *healthy = sound.into_iter().map(|index| healthy[index]).collect();
+        }
+    }
+
     /// Returns the address of another endpoint that is likely to have the shared prompt prefix
     /// cached. An endpoint copies only what it lacks, so one that has the prefix copies nothing.
     ///
--- a/crates/gateway/src/tracked.rs
+++ b/crates/gateway/src/tracked.rs
@@ -3,12 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use policy::failure_rate::Tally;
 use policy::occupancy::Occupancy;
 use policy::rate_limit::Limiter;
 use route::Endpoint;
 use route::endpoint::State;
 
 use crate::criteria::Criteria;
+use crate::failures::End;
 use crate::notice::Notice;
 use crate::quarantine::start_id;
 
@@ -25,6 +27,8 @@
     pub(crate) limiter: Limiter,
     /// State that it has reported in its responses.
     pub(crate) notice: Notice,
+    /// Its requests that ended lately, with those that failed.
+    pub(crate) tally: Tally,
 }
 
 impl Tracked {
@@ -38,6 +42,7 @@
             missing_until: None,
             is_replaced: false,
             notice: Notice::default(),
+            tally: Tally::default(),
         }
     }
 
@@ -46,12 +51,27 @@
         self.missing_until = Some(self.missing_until.map_or(until, |known| known.min(until)));
     }
 
+    /// Counts how a request ended at one of its starts.
+    pub(crate) fn record_end(&mut self, start: &Endpoint, end: End, now: Duration) {
+        match end {
+            _ if !self.endpoint.is_same_start(start) => {}
+            End::Answered => self.tally.record_answer(now),
+            End::Failed => self.tally.record_failure(now),
+            End::Broken => self.tally.record_break(now),
+        }
+    }
+
     /// Whether it would process another request at once, as far as it announces that.
     pub(crate) fn has_free_slot(&self, now: Duration) -> bool {
         let slots = self.endpoint.slots.map_or(f64::INFINITY, f64::from);
         self.occupancy.requests(now) < slots
     }
 
+    /// Whether requests may be sent to it as far as it and the store say.
+    pub(crate) fn takes_requests(&self) -> bool {
+        self.endpoint.state == State::Ready && !self.is_replaced && !self.notice.is_leaving()
+    }
+
     /// Whether a request with these criteria may be sent to it.
     pub(crate) fn is_available(&self, criteria: &Criteria<'_>) -> bool {
         self.is_suitable(criteria) && self.notice.pause(criteria.now).is_zero()
@@ -61,11 +81,9 @@
     pub(crate) fn is_suitable(&self, criteria: &Criteria<'_>) -> bool {
         let endpoint = &self.endpoint;
         *endpoint.service == *criteria.service
-            && endpoint.state == State::Ready
+            && self.takes_requests()
             && criteria.version.is_none_or(|version| *endpoint.version == *version)
-            && !self.is_replaced
             && self.missing_until.is_none_or(|until| criteria.now < until)
-            && !self.notice.is_leaving()
             && !criteria.tried.contains(&endpoint.id)
     }
 }
--- a/crates/gateway/src/worker.rs
+++ b/crates/gateway/src/worker.rs
@@ -63,6 +63,11 @@
         self.with_share(service, Share::spend)
     }
 
+    /// Whether a service's budget has a retry left.
+    pub(crate) fn has_retry(&self, service: &Arc<str>) -> bool {
+        self.with_share(service, |share| share.has_retry())
+    }
+
     /// Changes the retry budget of a service, after adjusting it to the number of gateways.
     fn with_share<T>(&self, service: &Arc<str>, change: impl FnOnce(&mut Share) -> T) -> T {
         let context = &self.context;
--- a/crates/gateway/tests/sessions/main.rs
+++ b/crates/gateway/tests/sessions/main.rs
@@ -3,6 +3,7 @@
 mod copies;
 mod crashes;
 mod endless;
+mod failures;
 mod heads;
 mod limits;
 mod loads;
--- a/crates/gateway/tests/sessions/support/fixture.rs
+++ b/crates/gateway/tests/sessions/support/fixture.rs
@@ -47,7 +47,13 @@
 impl Fixture {
     /// Starts a gateway with the configuration and these endpoints of a service.
     pub fn new(service: &str, endpoints: &[&Endpoint]) -> Fixture {
-        let fixture = Fixture::unconfigured();
+        Fixture::with_routing(Routing::default(), service, endpoints)
+    }
+
+    /// Starts a gateway with the configuration, these endpoints of a service, and a routing with
+    /// the parts that are switched on.
+    pub fn with_routing(routing: Routing, service: &str, endpoints: &[&Endpoint]) -> Fixture {
+        let fixture = Fixture::start(routing);
         fixture.configure(service, endpoints);
         fixture
     }
@@ -83,9 +89,13 @@
 
     /// Starts a gateway without a configuration and endpoints.
     pub fn unconfigured() -> Fixture {
+        Fixture::start(Routing::default())
+    }
+
+    fn start(routing: Routing) -> Fixture {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
-        let routing = Arc::new(Routing::default());
+        let routing = Arc::new(routing);
         routing.set_gateways(1);
         let stop = CancellationToken::new();
         let context = Context {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod choice;
 pub mod claim;
 pub mod exchange;
+pub mod failure_rate;
 pub mod fair;
 pub mod gate;
 pub mod gossip;
--- a/crates/policy/src/observation.rs
+++ b/crates/policy/src/observation.rs
@@ -11,6 +11,7 @@
 use crate::exchange::Additive;
 use crate::exchange::Parts;
 use crate::exchange::PartsLedger;
+use crate::failure_rate::Sheet;
 use crate::rate_limit::Usage;
 
 /// What one or several gateways have observed.
@@ -18,6 +19,8 @@
 pub struct Observations {
     /// Requests at endpoints that are cold.
     pub cold: Usage,
+    /// Requests at endpoints that fail some of them.
+    pub failures: Sheet,
 }
 
 /// What a gateway has observed, with what it answers for.
@@ -29,7 +32,7 @@
 impl Observations {
     /// Returns the number of rows.
     pub fn len(&self) -> usize {
-        self.cold.len()
+        self.cold.len() + self.failures.len()
     }
 
     /// Whether there is nothing to tell.
@@ -39,12 +42,13 @@
 
     /// Whether all rows are in order, as in a message that was received they may not be.
     pub fn is_valid(&self) -> bool {
-        self.cold.is_valid()
+        self.cold.is_valid() && self.failures.is_valid()
     }
 }
 
 impl Additive for Observations {
     fn add_all(&mut self, other: &Observations, age: Duration) {
         self.cold.add_all(&other.cold, age);
+        self.failures.add_all(&other.failures, age);
     }
 }
--- a/crates/policy/src/retry/share.rs
+++ b/crates/policy/src/retry/share.rs
@@ -36,9 +36,14 @@
         self.retries = (self.retries + self.ratio).min(self.max_retries);
     }
 
+    /// Whether there is a retry to spend.
+    pub fn has_retry(&self) -> bool {
+        self.retries >= 1.0
+    }
+
     /// Spends one retry; returns whether there was one.
     pub fn spend(&mut self) -> bool {
-        if self.retries < 1.0 {
+        if !self.has_retry() {
             return false;
         }
         self.retries -= 1.0;
--- a/crates/rpc/tests/view.rs
+++ b/crates/rpc/tests/view.rs
@@ -14,6 +14,7 @@
 use parking_lot::Mutex;
 use policy::exchange::Report;
 use policy::exchange::Sheet;
+use policy::failure_rate;
 use policy::observation;
 use policy::observation::Observations;
 use policy::origin::Row as StreamRow;
@@ -224,7 +225,7 @@
 async fn observations_are_exchanged_and_impossible_ones_refused() {
     let (client, stop) = connect().await;
     let told = |cold: Usage| {
-        let own = Observations { cold };
+        let own = Observations { cold, ..Observations::default() };
         let observations = observation::Report { own: own.clone(), members: own };
         Message { observations, ..message("valid", 1) }
     };
@@ -237,6 +238,28 @@
     stop.cancel();
 }
 
+/// Returns a message with the failures of two endpoints.
+fn failures(failures: u32) -> Message<Report, rate_limit::Report> {
+    let row = |endpoint| failure_rate::Row { endpoint, requests: 9, failures };
+    let failures = failure_rate::Sheet::new(vec![row(3), row(8)]);
+    let own = Observations { failures, ..Observations::default() };
+    let observations = observation::Report { own: own.clone(), members: own };
+    Message { observations, ..message("valid", 1) }
+}
+
+/// Guards against a peer that reports more failures than requests.
+#[tokio::test]
+async fn failures_are_exchanged_and_impossible_counts_refused() {
+    let (client, stop) = connect().await;
+    let told = failures(4);
+    let answer = client.report(&told, ANSWER_TIMEOUT).await;
+    assert_eq!(answer.map(|answer| answer.observations.own), Ok(told.observations.own.clone()));
+    assert_eq!(client.swap(&told, ANSWER_TIMEOUT).await, Ok(told));
+    assert!(is_refused(&client.report(&failures(10), MAX_WAIT).await));
+    assert!(is_refused(&client.swap(&failures(10), MAX_WAIT).await));
+    stop.cancel();
+}
+
 /// Returns this many streams of one version.
 fn streams(count: u32) -> Segment {
     let (service, version) = ("model".to_owned(), "v1".to_owned());
--- a/crates/settings/src/section.rs
+++ b/crates/settings/src/section.rs
@@ -106,6 +106,16 @@
         Some(*flag)
     }
 
+    /// Returns an optional boolean, `None` if it is invalid.
+    pub(crate) fn flag_or(
+        &self,
+        key: &str,
+        default: bool,
+        faults: &mut Vec<Fault>,
+    ) -> Option<bool> {
+        if self.has(key) { self.flag(key, faults) } else { Some(default) }
+    }
+
     /// Returns an optional integer from `min` to `max`, `None` if it is absent or invalid.
     pub(crate) fn number(
         &self,
--- a/crates/settings/tests/gateway.rs
+++ b/crates/settings/tests/gateway.rs
@@ -58,6 +58,7 @@
                 retry_ratio: 0.2,
                 retry_slack: 58.0,
                 processes: 8,
+                share_failures: false,
                 stop_notice: 2.6s,
                 stop_grace: 5s,
             }
@@ -110,6 +111,25 @@
     );
 }
 
+/// Guards against a part that is on where its setting is missing, or off where it is set.
+#[test]
+fn the_section_on_endpoints_switches_parts_on() {
+    let switched = |section: &str| match File::parse(&format!("{VALID}{section}")) {
+        Ok(File::Gateway(gateway)) => Some(gateway.share_failures),
+        _ => None,
+    };
+    assert_eq!(switched(""), Some(false));
+    assert_eq!(switched("[endpoints]\n"), Some(false));
+    assert_eq!(switched("[endpoints]\nshare_failures = true\n"), Some(true));
+    check(
+        &format!("{VALID}[endpoints]\nshare_failures = \"yes\"\n"),
+        expect![[r#"
+            the settings have faults; mend these lines:
+              line 22, `endpoints.share_failures`: has the wrong type; write true or false
+        "#]],
+    );
+}
+
 #[test]
 fn every_key_is_documented() {
     let path = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/SETTINGS.md");
@@ -122,6 +142,7 @@
         key::GATEWAY_PLATFORM,
         key::GATEWAY_LIMIT,
         key::GATEWAY_RETRY,
+        key::GATEWAY_ENDPOINTS,
     ];
     for name in sections.concat() {
         assert!(section.contains(&format!("\n{name} = ")), "{name}");
