--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -107,6 +107,9 @@
     if settings.spread_stale_loads {
         routing = routing.with_spread_stale_loads();
     }
+    if settings.share_failures {
+        routing = routing.with_shared_failures();
+    }
     routing
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod endpoints;
 mod evacuations;
 mod events;
+mod failures;
 mod feed;
 mod forward;
 mod framing;
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -7,7 +7,8 @@
 use metrics::counter;
 use metrics::gauge;
 use metrics::histogram;
-use policy::evacuation::Change;
+use policy::evacuation;
+use policy::failure_rate;
 use policy::quarantine::Block;
 use route::Endpoint;
 use route::Reply;
@@ -172,6 +173,28 @@
         .increment(1);
 }
 
+/// Records that an endpoint is taken for failing from now on, or no longer is. `age` is the time
+/// since the counts of the other gateways came.
+pub(crate) fn failing(endpoint: &Endpoint, change: &failure_rate::Change, age: Duration) {
+    let failure_rate::Change { own, others, best, .. } = change;
+    log::warn!(endpoint = &*endpoint.id, address:% = endpoint.address, service = &*endpoint.service,
+        is_failing = change.is_failing, own_failures = own.failures, own_requests = own.requests,
+        others_failures = others.failures, others_requests = others.requests,
+        others_age_ms = age.as_millis() as u64, best_share = *best;
+        "endpoint failures");
+}
+
+/// Records how many endpoints of a service are taken for failing.
+pub(crate) fn failing_endpoints(service: &str, failing: usize) {
+    gauge!("lycheeknot_gateway_failing_endpoints", "service" => service.to_owned())
+        .set(failing as f64);
+}
+
+/// Records that a request is sent to an endpoint that is taken for failing.
+pub(crate) fn trial(service: &str) {
+    counter!("lycheeknot_gateway_trials_total", "service" => service.to_owned()).increment(1);
+}
+
 /// Records that requests with certain parts of prompts are refused from now on, or no longer are.
 pub(crate) fn block(block: &Block, is_new: bool) {
     let names: Vec<String> = block.parts.iter().map(|part| format!("{part:x}")).collect();
@@ -187,7 +210,7 @@
 /// Records that an evacuation begins or ends, determined by a version of the store that was told some
 /// time ago. `lasted` is how long it was in force.
 pub(crate) fn evacuation(
-    change: &Change,
+    change: &evacuation::Change,
     version: version::Version,
     age: Duration,
     lasted: Duration,
--- a/crates/gateway/tests/sessions/main.rs
+++ b/crates/gateway/tests/sessions/main.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod endless;
 mod evacuations;
+mod failures;
 mod heads;
 mod limits;
 mod loads;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod claim;
 pub mod evacuation;
 pub mod exchange;
+pub mod failure_rate;
 pub mod fair;
 pub mod gate;
 pub mod gossip;
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -41,6 +41,8 @@
     /// Whether requests are spread by what other gateways are expected to have sent since their loads
     /// were known.
     pub spread_stale_loads: bool,
+    /// Whether failures of endpoints are shared with other gateways and used to choose endpoints.
+    pub share_failures: bool,
     /// Time for which the process stays reachable after a request to stop.
     pub stop_notice: Duration,
     /// Time for which requests in flight may continue after that.
@@ -91,6 +93,7 @@
         let endpoints = root.child("endpoints", faults);
         endpoints.check_keys(&[key::GATEWAY_ENDPOINTS], faults);
         let spread_stale_loads = endpoints.flag_or("spread_stale_loads", false, faults);
+        let share_failures = endpoints.flag_or("share_failures", false, faults);
         Some(Gateway {
             vm: vm?,
             centre: centre?,
@@ -107,6 +110,7 @@
             retry_slack: slack?,
             processes: u32::try_from(processes?).ok()?,
             spread_stale_loads: spread_stale_loads?,
+            share_failures: share_failures?,
             stop_notice: Duration::from_millis(notice?),
             stop_grace: Duration::from_millis(grace?),
         })
