--- a/crates/gateway/src/evacuations.rs
+++ b/crates/gateway/src/evacuations.rs
@@ -89,7 +89,14 @@
             News::Listed { evacuations, after_outage } => {
                 let listed = evacuations.into_iter().map(|(it, version)| request(it, version));
                 let restores = version::restores(version);
-                self.register.replace(listed.collect(), restores, after_outage, now)
+                let listed = listed.collect();
+                let changes = self.register.replace(listed, restores, after_outage, now);
+                let (missing, held) = self.register.undecided();
+                if missing + held > 0 {
+                    log::warn!(version, restores, after_outage, missing, held;
+                        "evacuations wait for operators to write or remove them again");
+                }
+                changes
             }
             News::Written(evacuation, version) => {
                 self.register.add(request(evacuation, version)).into_iter().collect()
--- a/crates/policy/src/evacuation/register.rs
+++ b/crates/policy/src/evacuation/register.rs
@@ -74,6 +74,16 @@
         evacuated.map(|known| &known.request.centre)
     }
 
+    /// Returns the numbers of evacuations that are in force though their keys are missing, and of
+    /// those that are not though their keys are there.
+    pub fn undecided(&self) -> (usize, usize) {
+        let count = |is_kind: fn(State) -> bool| {
+            self.known.iter().filter(|known| is_kind(known.state)).count()
+        };
+        let missing = count(|state| matches!(state, State::Missing(_)));
+        (missing, count(|state| !state.is_evacuated()))
+    }
+
     /// Applies a listing of all keys, read after a number of restores of the store.
     pub fn replace(
         &mut self,
--- a/crates/policy/tests/evacuation.rs
+++ b/crates/policy/tests/evacuation.rs
@@ -60,7 +60,9 @@
     assert_eq!(show(&register.replace(Vec::new(), 1, false, at(1_000))), "");
     assert_eq!(show(&register.settle(at(3_199))), "");
     assert_eq!(evacuated(&register), "a,b");
+    assert_eq!(register.undecided(), (2, 0));
     assert_eq!(register.add(request("a", 9)), None);
+    assert_eq!(register.undecided(), (1, 0));
     assert_eq!(show(&register.settle(at(3_200))), "-b not written again");
     assert_eq!(show(&register.settle(at(60_000))), "");
     assert_eq!(evacuated(&register), "a");
@@ -101,6 +103,7 @@
     let listed = || vec![request("a", 10), request("b", 11)];
     assert_eq!(show(&register.replace(listed(), 1, true, at(2_000))), "");
     assert_eq!(evacuated(&register), "b");
+    assert_eq!(register.undecided(), (0, 1));
     // Operators remove it again.
     assert_eq!(register.remove("a", at(3_000)), None);
     assert_eq!(show(&register.settle(at(4_200))), "");
