Choose endpoints by how fast they work, if endpoints.learn_speed is set

Callers of a service whose endpoints differ in speed waited for the slowest ones: choices compared loads by count, so an endpoint that was several times as slow got requests until it had as many in hand as the others.

policy::speed compares the logarithms of times (first event, pauses, plain requests) with the usual ones of similar work at as many requests in hand, and takes an endpoint for faster or slower than the median of its service where that is significant. Gateways report only such endpoints and add up what they observed. policy::choice divides loads by the speed; the load bound stays by count.

Choices among equal endpoints stay the same.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -52,7 +52,7 @@
         TcpListener::bind(settings.clients).map_err(|error| Error::Listen("clients", error))?;
     let source = Source { recorder: recorder.clone(), readiness: readiness.clone() };
     let admin = admin::start(settings.admin, source)?;
-    let routing = Arc::new(Routing::default());
+    let routing = Arc::new(Routing::default().with_learn_speed(settings.learn_speed));
     ntex::rt::spawn(recorder.upkeep(stop_background.clone()));
     let member = Member {
         vm: settings.vm.clone(),
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -14,6 +14,9 @@
 use link::Connection;
 use link::Failure;
 use link::Response;
+use policy::exchange;
+use policy::speed::Kind;
+use policy::speed::Work;
 use route::Endpoint;
 use route::Reply;
 use tokio::time::Instant;
@@ -66,6 +69,10 @@
     pub(crate) response: Response,
     pub(crate) connection: Connection,
     pub(crate) in_flight: InFlight,
+    /// When the request was sent.
+    pub(crate) sent: Instant,
+    /// Requests that the endpoint had then.
+    pub(crate) requests: u32,
 }
 
 /// Sends a request to an endpoint and waits for its response until the request's deadline.
@@ -158,6 +165,8 @@
             response,
             connection,
             in_flight,
+            sent,
+            requests: choice.requests,
         }));
     }
     let (head, body) = response.into_parts();
@@ -182,6 +191,13 @@
         routing.record_success(endpoint, sent.elapsed());
         routing.record_sound(&request.suspect);
     }
+    // Refusals of other kinds take less work.
+    if is_success {
+        let (class, tokens) =
+            (exchange::fingerprint(&request.rule.name), request.metadata.prompt_tokens);
+        let work = Work { kind: Kind::Whole, class, tokens, requests: choice.requests };
+        routing.record_time(endpoint, work, sent.elapsed());
+    }
     Outcome::Full(FullResponse { status, headers: head.headers, body })
 }
 
--- a/crates/gateway/src/criteria.rs
+++ b/crates/gateway/src/criteria.rs
@@ -46,4 +46,6 @@
     /// Address of another endpoint that has the shared prompt prefix cached, so that it can be
     /// copied from there.
     pub(crate) copy_from: Option<SocketAddr>,
+    /// Estimated number of requests that the endpoint has beside this one.
+    pub(crate) requests: u32,
 }
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -23,6 +23,7 @@
 use crate::record;
 use crate::removed::Removed;
 use crate::selection::Selection;
+use crate::speeds::Speeds;
 use crate::tracked::Tracked;
 
 /// How long an endpoint is kept whose announcement is missing after an outage of the store.
@@ -54,6 +55,8 @@
     popularity: Popularity,
     /// Requests for each service lately.
     demands: Demands,
+    /// How fast endpoints work.
+    pub(crate) speeds: Speeds,
 }
 
 impl Endpoints {
@@ -69,6 +72,7 @@
             ejections: Ejections::default(),
             popularity: Popularity::default(),
             demands: Demands::default(),
+            speeds: Speeds::default(),
         }
     }
 
@@ -171,6 +175,7 @@
         now: Duration,
     ) -> Option<Choice> {
         self.refill(criteria.service, gateways, now);
+        self.speeds.judge(criteria.service, &self.endpoints, now);
         if let Some(part) = criteria.part {
             self.popularity.record(part.id, now);
         }
@@ -179,11 +184,13 @@
             None => self.selection().best(criteria, now)?,
         };
         let copy_from = self.selection().copy_source(criteria, &endpoint);
+        let mut requests = 0;
         self.update(&endpoint.id, |tracked| {
+            requests = tracked.occupancy.requests(now) as u32;
             tracked.occupancy.record_sent();
             tracked.limiter.record_sent(now);
         });
-        Some(Choice { endpoint, copy_from })
+        Some(Choice { endpoint, copy_from, requests })
     }
 
     /// Records the end of a request at an endpoint.
@@ -196,6 +203,12 @@
         self.update(id, |tracked| tracked.occupancy.record_report(requests, now));
     }
 
+    /// Returns the estimated requests of all gateways at an endpoint.
+    pub(crate) fn requests(&self, id: &str, now: Duration) -> u32 {
+        let index = self.find(id).ok();
+        index.map_or(0, |index| self.endpoints[index].occupancy.requests(now) as u32)
+    }
+
     /// Counts a request for a service, and refills the permits for its limited endpoints.
     fn refill(&mut self, service: &str, gateways: u32, now: Duration) {
         let wanted = self.demands.record(service, now);
@@ -266,18 +279,19 @@
     }
 
     /// Returns what this gateway has observed of endpoints.
-    pub(crate) fn own_observations(&self, _now: Duration) -> Observations {
-        Observations::default()
+    pub(crate) fn own_observations(&self, now: Duration) -> Observations {
+        Observations { speed: self.speeds.sums(now), ..Observations::default() }
     }
 
     /// Records what the other gateways have observed of endpoints, and the number of these
     /// gateways.
     pub(crate) fn set_other_observations(
         &mut self,
-        _observations: &Observations,
-        _gateways: u32,
-        _now: Duration,
+        observations: &Observations,
+        gateways: u32,
+        now: Duration,
     ) {
+        self.speeds.learn(&observations.speed, gateways, &self.endpoints, now);
     }
 
     /// Returns the requests that this gateway has in flight at endpoints.
@@ -349,6 +363,7 @@
             endpoints: &self.endpoints,
             ejections: &self.ejections,
             popularity: &self.popularity,
+            speeds: &self.speeds,
         }
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod in_flight;
 mod notice;
 mod origins;
+mod pace;
 mod peer;
 mod quarantine;
 mod record;
@@ -36,6 +37,7 @@
 mod routing;
 mod selection;
 mod server;
+mod speeds;
 mod tracked;
 mod worker;
 
--- /dev/null
+++ b/crates/gateway/src/pace.rs
@@ -0,0 +1,50 @@
+//! Pauses between the pieces of a stream.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// Time over which pauses are averaged, so that few of the calls that record them need the lock of
+/// the endpoints.
+const INTERVAL: Duration = Duration::from_millis(400);
+
+/// Pauses that are needed at the end of a stream for a mean.
+const MIN_PAUSES: u32 = 3;
+
+/// Averages the pauses of a stream.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Pace {
+    /// When the latest piece arrived; `None` if that isn't known.
+    last: Option<Instant>,
+    sum: Duration,
+    pauses: u32,
+}
+
+impl Pace {
+    /// Records a piece that arrived at a time, after it was waited for since another one. Returns the
+    /// mean pause once there is one.
+    ///
+    /// Pieces for which nobody waited, since the client reads slowly, say nothing of the endpoint.
+    pub(crate) fn record(&mut self, awaited: Instant, arrived: Instant) -> Option<Duration> {
+        let last = self.last.replace(arrived)?;
+        let pause = arrived.duration_since(last);
+        if awaited.saturating_duration_since(last) * 2 > pause {
+            self.last = None;
+            return None;
+        }
+        self.sum += pause;
+        self.pauses += 1;
+        if self.sum < INTERVAL { None } else { self.take() }
+    }
+
+    /// Returns the mean of the pauses that were not returned yet, at the end of the stream.
+    pub(crate) fn finish(&mut self) -> Option<Duration> {
+        if self.pauses < MIN_PAUSES { None } else { self.take() }
+    }
+
+    fn take(&mut self) -> Option<Duration> {
+        let mean = self.sum.checked_div(self.pauses);
+        (self.sum, self.pauses) = (Duration::ZERO, 0);
+        mean
+    }
+}
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -6,6 +6,7 @@
 use metrics::gauge;
 use metrics::histogram;
 use policy::quarantine::Block;
+use policy::speed::Change;
 use route::Endpoint;
 use route::Reply;
 use route::Version;
@@ -168,6 +169,32 @@
         .increment(1);
 }
 
+/// Records that an endpoint is taken for slower or faster than before, compared with the other
+/// endpoints of its service. Ratios are its times as a multiple of theirs.
+pub(crate) fn speed(endpoint: &Endpoint, change: &Change, has_gauge: bool) {
+    let Change { from, judgement, age, reporters, .. } = change;
+    log::info!(endpoint = &*endpoint.id, address:% = endpoint.address,
+        service = &*endpoint.service, from:% = format_args!("{from:.2}"),
+        speed:% = format_args!("{:.2}", judgement.speed),
+        ratio_2s:% = format_args!("{:.2}", judgement.fast),
+        ratio_5s:% = format_args!("{:.2}", judgement.slow),
+        observations:% = format_args!("{:.1}", judgement.weight), reporters,
+        age_ms = age.as_millis() as u64; "endpoint speed");
+    counter!("lycheeknot_gateway_speed_changes_total", "service" => endpoint.service.to_string())
+        .increment(1);
+    if has_gauge {
+        gauge!("lycheeknot_gateway_endpoint_speed", "service" => endpoint.service.to_string(),
+            "endpoint" => endpoint.id.to_string())
+        .set(judgement.speed);
+    }
+}
+
+/// Records how many endpoints of a service are taken for slower or faster than the others.
+pub(crate) fn unequal_endpoints(service: &str, endpoints: usize) {
+    gauge!("lycheeknot_gateway_unequal_endpoints", "service" => service.to_owned())
+        .set(endpoints as f64);
+}
+
 /// Records that requests with certain parts of prompts are refused from now on, or no longer are.
 pub(crate) fn block(block: &Block, is_new: bool) {
     let names: Vec<String> = block.parts.iter().map(|part| format!("{part:x}")).collect();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -12,6 +12,8 @@
 use http_body_util::BodyExt;
 use link::Body;
 use link::Connection;
+use policy::speed::Kind;
+use policy::speed::Work;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
@@ -23,6 +25,7 @@
 use crate::forward::Attempts;
 use crate::framing::Framing;
 use crate::in_flight::InFlight;
+use crate::pace::Pace;
 use crate::record;
 use crate::record::StreamEnd;
 use crate::request::Request;
@@ -55,6 +58,13 @@
     connection: Connection,
     /// When the response began.
     begun: Instant,
+    /// When the request was sent.
+    sent: Instant,
+    /// Requests that the endpoint had then.
+    requests: u32,
+    /// Whether events have arrived.
+    has_events: bool,
+    pace: Pace,
     _in_flight: InFlight,
 }
 
@@ -113,6 +123,7 @@
                 Read::Data(data) => match self.events.push(&data) {
                     Ok(events) if events.is_empty() => continue,
                     Ok(events) => {
+                        self.record_first_event();
                         self.record_begin().await;
                         return Some(Ok(events));
                     }
@@ -153,9 +164,22 @@
         }
     }
 
+    /// Records how long the endpoint took to send the first event.
+    fn record_first_event(&mut self) {
+        let Some(source) = self.source.as_mut().filter(|source| !source.has_events) else { return };
+        source.has_events = true;
+        let (tokens, requests) = (self.request.metadata.prompt_tokens, source.requests);
+        let work = Work { kind: Kind::FirstEvent, class: 0, tokens, requests };
+        let routing = &self.worker.context.routing;
+        routing.record_time(&source.endpoint, work, source.sent.elapsed());
+    }
+
     /// Ends a whole stream.
     fn end(&mut self) {
-        if let Some(source) = self.source.take() {
+        if let Some(mut source) = self.source.take() {
+            if let Some(pause) = source.pace.finish() {
+                self.worker.context.routing.record_pause(&source.endpoint, pause);
+            }
             self.worker.pool.put(source.connection);
         }
         self.worker.context.routing.record_sound(&self.request.suspect);
@@ -165,6 +189,7 @@
     /// Reads from the endpoint until the deadline; `None` after the end of the stream.
     async fn read(&mut self) -> Option<Read> {
         let source = self.source.as_mut()?;
+        let awaited = Instant::now();
         let read = match timeout_at(self.request.deadline, source.body.frame()).await {
             Err(_) => Read::TimedOut,
             Ok(None) => Read::End,
@@ -172,6 +197,11 @@
             // Trailers are ignored.
             Ok(Some(Ok(frame))) => Read::Data(frame.into_data().unwrap_or_default()),
         };
+        if matches!(read, Read::Data(_))
+            && let Some(pause) = source.pace.record(awaited, Instant::now())
+        {
+            self.worker.context.routing.record_pause(&source.endpoint, pause);
+        }
         Some(read)
     }
 
@@ -242,12 +272,16 @@
 
 impl From<StreamStart> for Source {
     fn from(start: StreamStart) -> Source {
-        let StreamStart { endpoint, response, connection, in_flight } = start;
+        let StreamStart { endpoint, response, connection, in_flight, sent, requests } = start;
         Source {
             endpoint,
             body: response.into_body(),
             connection,
             begun: Instant::now(),
+            sent,
+            requests,
+            has_events: false,
+            pace: Pace::default(),
             _in_flight: in_flight,
         }
     }
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -18,6 +18,8 @@
 use policy::quarantine::StartId;
 use policy::quarantine::Suspect;
 use policy::rate_limit::Usage;
+use policy::speed::Kind;
+use policy::speed::Work;
 use rand::RngExt;
 use route::Endpoint;
 use route::Reply;
@@ -30,6 +32,7 @@
 use crate::endpoints::Endpoints;
 use crate::origins::Origins;
 use crate::quarantine::Quarantine;
+use crate::speeds::Speeds;
 
 /// Gateways among which limits of endpoints are divided while their number isn't known: as many as
 /// the largest fleet has that this is designed for.
@@ -42,6 +45,8 @@
     start: Instant,
     table: RwLock<Arc<Table>>,
     endpoints: Mutex<Endpoints>,
+    /// Whether the times of endpoints are recorded.
+    learns_speed: bool,
     quarantine: Quarantine,
     origins: Origins,
     /// Number of registered gateways, including this one; 0 while it is not known.
@@ -54,6 +59,7 @@
             start: Instant::now(),
             table: RwLock::default(),
             endpoints: Mutex::new(Endpoints::new(rand::rng().random())),
+            learns_speed: false,
             quarantine: Quarantine::default(),
             origins: Origins::default(),
             gateways: AtomicU32::default(),
@@ -62,6 +68,13 @@
 }
 
 impl Routing {
+    /// Sets whether this gateway learns how fast endpoints work, and chooses them by it.
+    pub fn with_learn_speed(mut self, learns_speed: bool) -> Routing {
+        self.learns_speed = learns_speed;
+        self.endpoints.get_mut().speeds = Speeds::new(learns_speed);
+        self
+    }
+
     /// Returns the time since this value was created. All times of endpoints, locations and the
     /// [`crate::Mirror`] are given by this clock.
     pub fn now(&self) -> Duration {
@@ -295,6 +308,23 @@
         self.quarantine.evidence()
     }
 
+    /// Records how long an endpoint took for work, with the requests that it had in hand then.
+    pub(crate) fn record_time(&self, endpoint: &Endpoint, work: Work, took: Duration) {
+        if self.learns_speed {
+            self.endpoints.lock().speeds.record(endpoint, work, took, self.now());
+        }
+    }
+
+    /// Records the mean pause between pieces of a stream.
+    pub(crate) fn record_pause(&self, endpoint: &Endpoint, pause: Duration) {
+        if self.learns_speed {
+            let (now, mut endpoints) = (self.now(), self.endpoints.lock());
+            let requests = endpoints.requests(&endpoint.id, now);
+            let work = Work { kind: Kind::Pause, class: 0, tokens: 0, requests };
+            endpoints.speeds.record(endpoint, work, pause, now);
+        }
+    }
+
     /// Marks an endpoint as replaced by another one at its address.
     pub(crate) fn set_replaced(&self, id: &str) {
         self.endpoints.lock().set_replaced(id);
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -10,6 +10,7 @@
 
 use crate::criteria::Criteria;
 use crate::ejections::Ejections;
+use crate::speeds::Speeds;
 use crate::tracked::Tracked;
 
 /// Shortest prompt prefix that is copied between endpoints, in tokens. Computing a shorter one
@@ -23,6 +24,7 @@
     pub(crate) endpoints: &'a [Tracked],
     pub(crate) ejections: &'a Ejections,
     pub(crate) popularity: &'a Popularity,
+    pub(crate) speeds: &'a Speeds,
 }
 
 impl Selection<'_> {
@@ -43,6 +45,7 @@
                 name: &tracked.endpoint.id,
                 requests: tracked.occupancy.requests(now),
                 slots: tracked.endpoint.slots,
+                speed: self.speeds.speed(&tracked.endpoint),
                 is_far: *tracked.endpoint.centre != *criteria.centre,
                 is_limited: tracked.limiter.max_rate().is_some(),
             })
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -3,7 +3,8 @@
 //! An endpoint that has parts of a prompt cached reads the prompt faster, so
 //! requests that share a part prefer the same endpoints in the same order at
 //! every process (rendezvous hashing). An endpoint that has far more work than
-//! the others is skipped.
+//! the others is skipped. Loads are compared relative to the endpoints' speeds; the
+//! load bound is by count, whatever the speed.
 //!
 //! The order depends only on the part and the endpoints' names. What a process
 //! has sent earlier is left out on purpose: each process of a large fleet sees
@@ -57,6 +58,9 @@
     pub requests: f64,
     /// Requests that it processes at the same time, if it announces that; more have to wait.
     pub slots: Option<u32>,
+    /// How fast it works, relative to the other endpoints of the service ([`crate::speed`]): 1 if
+    /// it doesn't differ from them.
+    pub speed: f64,
     /// Whether it is in another data centre.
     pub is_far: bool,
     /// Whether it limits the rate of requests, and one may be sent to it now.
@@ -79,15 +83,27 @@
 /// Returns the order in which to try the candidates, as indices into them.
 pub fn order(query: &Query, candidates: &[Candidate<'_>]) -> Vec<usize> {
     let mut order: Vec<usize> = (0..candidates.len()).collect();
-    let load = |index: &usize| {
-        let candidate = &candidates[*index];
+    let bound = load_bound(candidates);
+    let load = |candidate: &Candidate<'_>| {
         let penalty = if candidate.is_far { FAR_PENALTY_REQUESTS } else { 0.0 };
-        candidate.requests + penalty
+        let is_above = candidate.requests > bound;
+        (is_above, (candidate.requests + penalty) / candidate.speed)
     };
+    let loads: Vec<(bool, f64)> = candidates.iter().map(load).collect();
     let tie_break =
         |index: &usize| xxh3_64_with_seed(candidates[*index].name.as_bytes(), query.seed);
+    // Idle endpoints are drawn in proportion to their speeds, so that a slow one gets few requests
+    // and not none.
+    let draw = |index: &usize| {
+        let uniform = tie_break(index) as f64 / u64::MAX as f64;
+        -(-uniform).ln_1p() / candidates[*index].speed
+    };
     order.sort_by(|left, right| {
-        load(left).total_cmp(&load(right)).then_with(|| tie_break(left).cmp(&tie_break(right)))
+        let ((left_above, left_load), (right_above, right_load)) = (loads[*left], loads[*right]);
+        let by_load = left_above.cmp(&right_above).then(left_load.total_cmp(&right_load));
+        by_load
+            .then_with(|| draw(left).total_cmp(&draw(right)))
+            .then_with(|| tie_break(left).cmp(&tie_break(right)))
     });
     if let Some(preferred) = preferred(query, candidates) {
         move_to_front(preferred, &mut order);
@@ -105,12 +121,23 @@
 
 /// Whether a request that is sent to an endpoint need not wait for a slot.
 fn has_free_slot(candidate: &Candidate<'_>) -> bool {
-    candidate.requests <= free_slots(candidate.slots)
+    candidate.requests / candidate.speed.min(1.0) <= free_slots(candidate.slots.map(f64::from))
 }
 
-/// Returns the requests with which an endpoint still has slots to spare.
-fn free_slots(slots: Option<u32>) -> f64 {
-    slots.map_or(f64::INFINITY, |slots| f64::from(slots) * (1.0 - MIN_FREE_SLOTS))
+/// Returns the most requests with which an endpoint is chosen for its speed. Endpoints of equal speed
+/// have no such bound, since the least loaded one is never above it.
+fn load_bound(candidates: &[Candidate<'_>]) -> f64 {
+    if candidates.iter().all(|candidate| candidate.speed == 1.0) {
+        return f64::INFINITY;
+    }
+    let total: f64 = candidates.iter().map(|candidate| candidate.requests).sum();
+    let mean = total / candidates.len().max(1) as f64;
+    mean * LONG_PART_LOAD_MULTIPLE + REUSE_SLACK_REQUESTS
+}
+
+/// Returns the requests with which an endpoint of speed 1 still has slots to spare.
+fn free_slots(slots: Option<f64>) -> f64 {
+    slots.map_or(f64::INFINITY, |slots| slots * (1.0 - MIN_FREE_SLOTS))
 }
 
 /// Returns the endpoint that a process may copy a part from for the endpoint
@@ -128,10 +155,17 @@
 fn preferred(query: &Query, candidates: &[Candidate<'_>]) -> Option<usize> {
     let part = query.part?;
     let total: f64 = candidates.iter().map(|candidate| candidate.requests).sum();
-    let mean = total / candidates.len().max(1) as f64;
+    let capacity: f64 = candidates.iter().map(|candidate| candidate.speed).sum();
+    // The load at which all endpoints are equally busy.
+    let mean = if capacity > 0.0 { total / capacity } else { 0.0 };
+    let bound = load_bound(candidates);
     let has_room = |index: &usize| {
-        let Candidate { requests, slots, .. } = candidates[*index];
-        requests <= max_requests(query.tokens, mean, slots)
+        let candidate = &candidates[*index];
+        let slots = candidate.slots.map(f64::from);
+        // A fast endpoint has no more slots than it announces.
+        let slots = slots.map(|slots| slots * candidate.speed.min(1.0) / candidate.speed);
+        candidate.requests / candidate.speed <= max_requests(query.tokens, mean, slots)
+            && candidate.requests <= bound
     };
     let mut ranked: Vec<usize> = (0..candidates.len()).collect();
     ranked.sort_by_cached_key(|index| Reverse(affinity(candidates[*index].name, part)));
@@ -141,11 +175,11 @@
 }
 
 /// Returns the most requests with which an endpoint is preferred for the reuse of a part, given
-/// the mean load and the endpoint's slots.
+/// the mean load and the endpoint's slots, all as at an endpoint of speed 1.
 ///
 /// A short part is read again sooner than a slot gets free, a long one is not: it would delay all
 /// requests at the other endpoint, and push other parts out of its cache.
-fn max_requests(tokens: u32, mean: f64, slots: Option<u32>) -> f64 {
+fn max_requests(tokens: u32, mean: f64, slots: Option<f64>) -> f64 {
     let long = mean * LONG_PART_LOAD_MULTIPLE + REUSE_SLACK_REQUESTS;
     let free = free_slots(slots);
     let full = mean * FULL_LOAD_MULTIPLE + FULL_SLACK_REQUESTS;
--- a/crates/policy/src/observation.rs
+++ b/crates/policy/src/observation.rs
@@ -12,12 +12,15 @@
 use crate::exchange::Parts;
 use crate::exchange::PartsLedger;
 use crate::rate_limit::Usage;
+use crate::speed::Sums;
 
 /// What one or several gateways have observed.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Observations {
     /// Requests at endpoints that are cold.
     pub cold: Usage,
+    /// Times of endpoints that are faster or slower than the others of their service.
+    pub speed: Sums,
 }
 
 /// What a gateway has observed, with what it answers for.
@@ -29,7 +32,7 @@
 impl Observations {
     /// Returns the number of rows.
     pub fn len(&self) -> usize {
-        self.cold.len()
+        self.cold.len() + self.speed.len()
     }
 
     /// Whether there is nothing to tell.
@@ -39,12 +42,13 @@
 
     /// Whether all rows are in order, as in a message that was received they may not be.
     pub fn is_valid(&self) -> bool {
-        self.cold.is_valid()
+        self.cold.is_valid() && self.speed.is_valid()
     }
 }
 
 impl Additive for Observations {
     fn add_all(&mut self, other: &Observations, age: Duration) {
         self.cold.add_all(&other.cold, age);
+        self.speed.add_all(&other.speed, age);
     }
 }
--- a/crates/policy/tests/choice.rs
+++ b/crates/policy/tests/choice.rs
@@ -15,6 +15,7 @@
         name,
         requests: *requests,
         slots: None,
+        speed: 1.0,
         is_far: false,
         is_limited: false,
     };
--- a/crates/policy/tests/fleet_load.rs
+++ b/crates/policy/tests/fleet_load.rs
@@ -210,6 +210,7 @@
                 name,
                 requests: occupancy.requests(now),
                 slots: self.slots,
+                speed: 1.0,
                 is_far: false,
                 is_limited: false,
             })
--- a/crates/rpc/tests/view.rs
+++ b/crates/rpc/tests/view.rs
@@ -224,7 +224,7 @@
 async fn observations_are_exchanged_and_impossible_ones_refused() {
     let (client, stop) = connect().await;
     let told = |cold: Usage| {
-        let own = Observations { cold };
+        let own = Observations { cold, ..Observations::default() };
         let observations = observation::Report { own: own.clone(), members: own };
         Message { observations, ..message("valid", 1) }
     };
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -38,6 +38,8 @@
     /// Least number of processes that the retries are divided by; more if more are
     /// registered.
     pub processes: u32,
+    /// Whether endpoints are chosen by how fast they work.
+    pub learn_speed: bool,
     /// Time for which the process stays reachable after a request to stop.
     pub stop_notice: Duration,
     /// Time for which requests in flight may continue after that.
@@ -85,6 +87,9 @@
         let ratio = retry.decimal("ratio", 0.0, 10.0, faults);
         let slack = retry.decimal("slack", 0.0, 1e6, faults);
         let processes = retry.required_number("processes", 1, 100_000, faults);
+        let endpoints = root.child("endpoints", faults);
+        endpoints.check_keys(&[key::GATEWAY_ENDPOINTS], faults);
+        let learn_speed = endpoints.flag_or("learn_speed", false, faults);
         Some(Gateway {
             vm: vm?,
             centre: centre?,
@@ -100,6 +105,7 @@
             retry_ratio: ratio?,
             retry_slack: slack?,
             processes: u32::try_from(processes?).ok()?,
+            learn_speed: learn_speed?,
             stop_notice: Duration::from_millis(notice?),
             stop_grace: Duration::from_millis(grace?),
         })
--- a/crates/settings/src/section.rs
+++ b/crates/settings/src/section.rs
@@ -106,6 +106,19 @@
         Some(*flag)
     }
 
+    /// Returns an optional boolean, or `default` if the key is not there.
+    pub(crate) fn flag_or(
+        &self,
+        key: &str,
+        default: bool,
+        faults: &mut Vec<Fault>,
+    ) -> Option<bool> {
+        if self.value(key).is_none() {
+            return Some(default);
+        }
+        self.flag(key, faults)
+    }
+
     /// Returns an optional integer from `min` to `max`, `None` if it is absent or invalid.
     pub(crate) fn number(
         &self,
--- a/crates/settings/tests/gateway.rs
+++ b/crates/settings/tests/gateway.rs
@@ -58,6 +58,7 @@
                 retry_ratio: 0.2,
                 retry_slack: 58.0,
                 processes: 8,
+                learn_speed: false,
                 stop_notice: 2.6s,
                 stop_grace: 5s,
             }
@@ -65,6 +66,20 @@
     );
 }
 
+#[test]
+fn the_speed_of_endpoints_is_learnt_if_that_is_set() {
+    let text = format!("{VALID}[endpoints]\nlearn_speed = true\n");
+    let Ok(File::Gateway(gateway)) = File::parse(&text) else { panic!("the settings are valid") };
+    assert!(gateway.learn_speed);
+    check(
+        &text.replace("true", "1"),
+        expect![[r#"
+            the settings have faults; mend these lines:
+              line 22, `endpoints.learn_speed`: has the wrong type; write true or false
+        "#]],
+    );
+}
+
 #[test]
 fn all_faults_are_reported_at_once() {
     let text = VALID
@@ -122,6 +137,7 @@
         key::GATEWAY_PLATFORM,
         key::GATEWAY_LIMIT,
         key::GATEWAY_RETRY,
+        key::GATEWAY_ENDPOINTS,
     ];
     for name in sections.concat() {
         assert!(section.contains(&format!("\n{name} = ")), "{name}");
