Show which endpoints are taken for slower or faster, and describe how speeds are learnt

Operators had no way to see why an endpoint gets fewer requests than others. First events count half and up to a factor of 2.7, as it isn't known what of a prompt is cached.

--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -171,7 +171,7 @@
 
 /// Records that an endpoint is taken for slower or faster than before, compared with the other
 /// endpoints of its service. Ratios are its times as a multiple of theirs.
-pub(crate) fn speed(endpoint: &Endpoint, change: &Change, has_gauge: bool) {
+pub(crate) fn speed_change(endpoint: &Endpoint, change: &Change) {
     let Change { from, judgement, age, reporters, .. } = change;
     log::info!(endpoint = &*endpoint.id, address:% = endpoint.address,
         service = &*endpoint.service, from:% = format_args!("{from:.2}"),
@@ -182,11 +182,13 @@
         age_ms = age.as_millis() as u64; "endpoint speed");
     counter!("lycheeknot_gateway_speed_changes_total", "service" => endpoint.service.to_string())
         .increment(1);
-    if has_gauge {
-        gauge!("lycheeknot_gateway_endpoint_speed", "service" => endpoint.service.to_string(),
-            "endpoint" => endpoint.id.to_string())
-        .set(judgement.speed);
-    }
+}
+
+/// Records the speed of an endpoint that differs or has differed.
+pub(crate) fn speed(service: &str, endpoint: &str, speed: f64) {
+    gauge!("lycheeknot_gateway_endpoint_speed", "service" => service.to_owned(),
+        "endpoint" => endpoint.to_owned())
+    .set(speed);
 }
 
 /// Records how many endpoints of a service are taken for slower or faster than the others.
--- a/crates/gateway/src/speeds.rs
+++ b/crates/gateway/src/speeds.rs
@@ -25,8 +25,8 @@
     services: Vec<(Arc<str>, speed::Speeds)>,
     /// Number of other gateways whose observations are known.
     gateways: u32,
-    /// Ids of the endpoints that have a gauge, sorted.
-    gauges: Vec<Arc<str>>,
+    /// Ids of the endpoints that have a gauge, sorted, with their services.
+    gauges: Vec<(Arc<str>, Arc<str>)>,
 }
 
 impl Speeds {
@@ -72,8 +72,13 @@
         for change in changes {
             let is_changed = |tracked: &&Tracked| start_id(&tracked.endpoint) == change.endpoint;
             let Some(tracked) = endpoints.iter().find(is_changed) else { continue };
-            let has_gauge = self.has_gauge(&tracked.endpoint.id);
-            record::speed(&tracked.endpoint, &change, has_gauge);
+            self.add_gauge(&tracked.endpoint);
+            record::speed_change(&tracked.endpoint, &change);
+        }
+        for (id, _) in self.gauges.iter().filter(|(_, known)| **known == *service) {
+            let tracked = endpoints.iter().find(|tracked| tracked.endpoint.id == *id);
+            let speed = tracked.map_or(1.0, |tracked| self.speed(&tracked.endpoint));
+            record::speed(service, id, speed);
         }
     }
 
@@ -112,14 +117,15 @@
         names.iter().for_each(|service| self.judge(service, endpoints, now));
     }
 
-    /// Whether an endpoint has a gauge; it gets one if there are not too many.
-    fn has_gauge(&mut self, id: &Arc<str>) -> bool {
-        let Err(index) = self.gauges.binary_search(id) else { return true };
-        let is_free = self.gauges.len() < MAX_GAUGES;
-        if is_free {
-            self.gauges.insert(index, Arc::clone(id));
+    /// Gives an endpoint a gauge unless there are too many.
+    fn add_gauge(&mut self, endpoint: &Endpoint) {
+        let found = self.gauges.binary_search_by(|(id, _)| id.cmp(&endpoint.id));
+        if let Err(index) = found
+            && self.gauges.len() < MAX_GAUGES
+        {
+            let gauge = (Arc::clone(&endpoint.id), Arc::clone(&endpoint.service));
+            self.gauges.insert(index, gauge);
         }
-        is_free
     }
 
     fn find(&self, service: &str) -> Result<usize, usize> {
--- a/crates/gateway/tests/sessions/support/endpoint.rs
+++ b/crates/gateway/tests/sessions/support/endpoint.rs
@@ -118,7 +118,8 @@
         is_crashed(&self.seen)
     }
 
-    fn start_with(id: &str, responses: &Arc<Mutex<Vec<Vec<Step>>>>) -> Endpoint {
+    /// Starts an endpoint with scripted responses that the test may change.
+    pub fn start_with(id: &str, responses: &Arc<Mutex<Vec<Vec<Step>>>>) -> Endpoint {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
         let seen = Arc::new(Mutex::new(Vec::new()));
--- a/crates/gateway/tests/sessions/support/fixture.rs
+++ b/crates/gateway/tests/sessions/support/fixture.rs
@@ -83,9 +83,14 @@
 
     /// Starts a gateway without a configuration and endpoints.
     pub fn unconfigured() -> Fixture {
+        Fixture::with_routing(Routing::default())
+    }
+
+    /// Starts a gateway without a configuration and endpoints, whose routing has settings.
+    pub fn with_routing(routing: Routing) -> Fixture {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
-        let routing = Arc::new(Routing::default());
+        let routing = Arc::new(routing);
         routing.set_gateways(1);
         let stop = CancellationToken::new();
         let context = Context {
--- a/crates/policy/src/speed/speeds.rs
+++ b/crates/policy/src/speed/speeds.rs
@@ -31,9 +31,13 @@
 /// Observations by which an endpoint counts in the median, and in what is reported, by weight.
 const MIN_OWN_WEIGHT: f64 = 0.5;
 
-/// Weight of the pauses of one stream, which are not independent of those of other streams at the
-/// endpoint.
-const PAUSE_WEIGHT: f64 = 0.5;
+/// Weight of times of streams: pauses of one stream are not independent of those of others at the
+/// endpoint, and the first event depends on what of the prompt is cached.
+const STREAM_WEIGHT: f64 = 0.5;
+
+/// Deviations of the first event count up to this, a factor of 2.7: a prompt that is cached is read
+/// ten times as fast, which says nothing of the endpoint.
+const FIRST_EVENT_MAX_DEVIATION: f64 = 1.0;
 
 /// The latest deviation has at least a weight of one in this many in the spread.
 const SPREAD_WINDOW: u32 = 500;
@@ -109,7 +113,12 @@
         let single = (deviation - centre - known).clamp(-MAX_SPREAD, MAX_SPREAD);
         self.deviations = (self.deviations + 1).min(SPREAD_WINDOW);
         self.variance += (single * single - self.variance) / f64::from(self.deviations);
-        let weight = if work.kind == Kind::Pause { PAUSE_WEIGHT } else { 1.0 };
+        let (weight, limit) = match work.kind {
+            Kind::Whole => (1.0, f64::INFINITY),
+            Kind::Pause => (STREAM_WEIGHT, f64::INFINITY),
+            Kind::FirstEvent => (STREAM_WEIGHT, FIRST_EVENT_MAX_DEVIATION),
+        };
+        let deviation = centre + (deviation - centre).clamp(-limit, limit);
         self.measures[index].add(weight, deviation, centre, now);
     }
 
--- a/crates/policy/tests/choice.rs
+++ b/crates/policy/tests/choice.rs
@@ -193,6 +193,58 @@
     }
 }
 
+#[test]
+fn loads_are_compared_relative_to_speeds() {
+    let mut candidates = candidates(&[2.0, 5.0, 6.0]);
+    candidates[0].speed = 0.25;
+    candidates[2].speed = 1.5;
+    // 8, 5 and 4 relative to their speeds.
+    assert_eq!(choice::order(&query(None, 0), &candidates), [2, 1, 0]);
+}
+
+#[test]
+fn an_idle_slow_endpoint_gets_fewer_requests_and_not_none() {
+    let mut idle = candidates(&[0.0; 4]);
+    idle[0].speed = 0.2;
+    let is_first =
+        |seed: &u64| choice::order(&Query { seed: *seed, ..query(None, 0) }, &idle)[0] == 0;
+    // In proportion to the speeds it gets one in 16.
+    let got = (0..1_600).filter(is_first).count();
+    assert!((60..150).contains(&got), "{got} of 1,600");
+}
+
+#[test]
+fn no_endpoint_gets_more_than_the_load_bound_for_its_speed() {
+    // The others are so slow that half of all requests would be at the fast one.
+    let mut loads = candidates(&[0.0; 6]);
+    loads[1..].iter_mut().for_each(|candidate| candidate.speed = 0.2);
+    loads[0].speed = 1.5;
+    for part in [None, Some(1), Some(2), Some(3)] {
+        let mut requests = [0.0; 6];
+        for seed in 0..300 {
+            loads.iter_mut().zip(requests).for_each(|(known, requests)| known.requests = requests);
+            let index = choice::order(&Query { seed, ..query(part, 10_000) }, &loads)[0];
+            requests[index] += 1.0;
+            let mean = requests.iter().sum::<f64>() / 6.0;
+            assert!(requests[index] <= 1.8 * mean + 2.5 + 1.0, "{requests:?}");
+        }
+    }
+}
+
+#[test]
+fn a_slow_endpoint_keeps_its_parts_up_to_what_it_handles() {
+    let idle = candidates(&[0.0; 6]);
+    let home = first(&query(Some(1), 700), &idle);
+    let place = |requests: f64| {
+        let mut loads = candidates(&[8.0; 6]);
+        let slow = loads.iter_mut().find(|candidate| candidate.name == home).expect("the home");
+        (slow.speed, slow.requests) = (0.25, requests);
+        first(&query(Some(1), 700), &loads)
+    };
+    assert_eq!(place(2.0), home);
+    assert_ne!(place(8.0), home);
+}
+
 #[test]
 fn a_permit_of_a_limited_endpoint_lapses_while_the_others_have_no_free_slot() {
     let mut candidates = candidates(&[15.0, 15.0, 15.0, 2.0, 1.0, 15.0]);
--- a/crates/rpc/tests/view.rs
+++ b/crates/rpc/tests/view.rs
@@ -23,6 +23,7 @@
 use policy::rate_limit;
 use policy::rate_limit::Row;
 use policy::rate_limit::Usage;
+use policy::speed;
 use rpc::Error;
 use rpc::view::Answer;
 use rpc::view::Client;
@@ -237,6 +238,24 @@
     stop.cancel();
 }
 
+#[tokio::test]
+async fn speeds_are_exchanged_and_impossible_ones_refused() {
+    let (client, stop) = connect().await;
+    let told = |fast_sum: f32| {
+        let mut own = Observations::default();
+        let (fast_weight, slow_weight, slow_sum) = (2.5, 6.0, 1.5);
+        let row =
+            speed::Row { endpoint: 7, reporters: 1, fast_weight, fast_sum, slow_weight, slow_sum };
+        own.speed.add(row);
+        let observations = observation::Report { own: own.clone(), members: own };
+        Message { observations, ..message("valid", 1) }
+    };
+    assert_eq!(client.swap(&told(3.5), ANSWER_TIMEOUT).await, Ok(told(3.5)));
+    assert!(is_refused(&client.report(&told(f32::NAN), MAX_WAIT).await));
+    assert!(is_refused(&client.swap(&told(1e9), MAX_WAIT).await));
+    stop.cancel();
+}
+
 /// Returns this many streams of one version.
 fn streams(count: u32) -> Segment {
     let (service, version) = ("model".to_owned(), "v1".to_owned());
