--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -103,7 +103,7 @@
 
 /// Returns the routing with the parts that are switched on.
 fn routing(settings: &Gateway) -> Routing {
-    let mut routing = Routing::default();
+    let mut routing = Routing::default().with_learn_speed(settings.learn_speed);
     if settings.spread_stale_loads {
         routing = routing.with_spread_stale_loads();
     }
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -28,6 +28,7 @@
 use crate::record;
 use crate::removed::Removed;
 use crate::selection::Selection;
+use crate::speeds::Speeds;
 use crate::tracked::Tracked;
 
 /// How long an endpoint is kept whose announcement is missing after an outage of the store.
@@ -68,6 +69,8 @@
     /// Whether requests are spread by what other gateways are expected to have sent.
     pub(crate) spreads_stale_loads: bool,
     pub(crate) failures: Failures,
+    /// How fast endpoints work.
+    pub(crate) speeds: Speeds,
 }
 
 impl Endpoints {
@@ -86,6 +89,7 @@
             demands: Demands::default(),
             spreads_stale_loads: false,
             failures: Failures::default(),
+            speeds: Speeds::default(),
         }
     }
 
@@ -188,6 +192,7 @@
         now: Duration,
     ) -> Option<Choice> {
         self.refill(criteria.service, gateways, now);
+        self.speeds.judge(criteria.service, &self.endpoints, now);
         if let Some(part) = criteria.part {
             self.popularity.record(part.id, now);
         }
@@ -196,11 +201,13 @@
             None => self.choose_sound(criteria, gateways, now)?,
         };
         let copy_from = self.selection(0.0).copy_source(criteria, &endpoint);
+        let mut requests = 0;
         self.update(&endpoint.id, |tracked| {
+            requests = tracked.occupancy.requests(now) as u32;
             tracked.occupancy.record_sent();
             tracked.limiter.record_sent(now);
         });
-        Some(Choice { endpoint, copy_from })
+        Some(Choice { endpoint, copy_from, requests })
     }
 
     /// Chooses the best endpoint, or a failing one whose recovery is to be noticed.
@@ -237,6 +244,12 @@
         self.update(id, |tracked| tracked.occupancy.record_report(requests, now));
     }
 
+    /// Returns the estimated requests of all gateways at an endpoint.
+    pub(crate) fn requests(&self, id: &str, now: Duration) -> u32 {
+        let index = self.find(id).ok();
+        index.map_or(0, |index| self.endpoints[index].occupancy.requests(now) as u32)
+    }
+
     /// Counts a request for a service, and refills the permits for its limited endpoints.
     fn refill(&mut self, service: &str, gateways: u32, now: Duration) {
         let wanted = self.demands.record(service, now);
@@ -309,7 +322,7 @@
     /// Returns what this gateway has observed of endpoints.
     pub(crate) fn own_observations(&self, now: Duration) -> Observations {
         let failures = self.failures.sheet(&self.endpoints, now);
-        Observations { failures, ..Observations::default() }
+        Observations { failures, speed: self.speeds.sums(now), ..Observations::default() }
     }
 
     /// Records what the other gateways have observed of endpoints, and the number of these
@@ -317,10 +330,11 @@
     pub(crate) fn set_other_observations(
         &mut self,
         observations: &Observations,
-        _gateways: u32,
+        gateways: u32,
         now: Duration,
     ) {
         self.failures.learn(&mut self.endpoints, &observations.failures, now);
+        self.speeds.learn(&observations.speed, gateways, &self.endpoints, now);
     }
 
     /// Returns the requests that this gateway has in flight at endpoints.
@@ -414,6 +428,7 @@
             ejections: &self.ejections,
             popularity: &self.popularity,
             unseen,
+            speeds: &self.speeds,
         }
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod notice;
 mod operator;
 mod origins;
+mod pace;
 mod peer;
 mod quarantine;
 mod record;
@@ -39,6 +40,7 @@
 mod routing;
 mod selection;
 mod server;
+mod speeds;
 mod tracked;
 mod worker;
 
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -10,6 +10,7 @@
 use policy::evacuation;
 use policy::failure_rate;
 use policy::quarantine::Block;
+use policy::speed;
 use route::Endpoint;
 use route::Reply;
 use route::Version;
@@ -195,6 +196,34 @@
     counter!("lycheeknot_gateway_trials_total", "service" => service.to_owned()).increment(1);
 }
 
+/// Records that an endpoint is taken for slower or faster than before, compared with the other
+/// endpoints of its service. Ratios are its times as a multiple of theirs.
+pub(crate) fn speed_change(endpoint: &Endpoint, change: &speed::Change) {
+    let speed::Change { from, judgement, age, reporters, .. } = change;
+    log::info!(endpoint = &*endpoint.id, address:% = endpoint.address,
+        service = &*endpoint.service, from:% = format_args!("{from:.2}"),
+        speed:% = format_args!("{:.2}", judgement.speed),
+        ratio_2s:% = format_args!("{:.2}", judgement.fast),
+        ratio_5s:% = format_args!("{:.2}", judgement.slow),
+        observations:% = format_args!("{:.1}", judgement.weight), reporters,
+        age_ms = age.as_millis() as u64; "endpoint speed");
+    counter!("lycheeknot_gateway_speed_changes_total", "service" => endpoint.service.to_string())
+        .increment(1);
+}
+
+/// Records the speed of an endpoint that differs or has differed.
+pub(crate) fn speed(service: &str, endpoint: &str, speed: f64) {
+    gauge!("lycheeknot_gateway_endpoint_speed", "service" => service.to_owned(),
+        "endpoint" => endpoint.to_owned())
+    .set(speed);
+}
+
+/// Records how many endpoints of a service are taken for slower or faster than the others.
+pub(crate) fn unequal_endpoints(service: &str, endpoints: usize) {
+    gauge!("lycheeknot_gateway_unequal_endpoints", "service" => service.to_owned())
+        .set(endpoints as f64);
+}
+
 /// Records that requests with certain parts of prompts are refused from now on, or no longer are.
 pub(crate) fn block(block: &Block, is_new: bool) {
     let names: Vec<String> = block.parts.iter().map(|part| format!("{part:x}")).collect();
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -11,6 +11,7 @@
 
 use crate::criteria::Criteria;
 use crate::ejections::Ejections;
+use crate::speeds::Speeds;
 use crate::tracked::Tracked;
 
 /// Shortest prompt prefix that is copied between endpoints, in tokens. Computing a shorter one
@@ -27,6 +28,7 @@
     /// Requests that other gateways are expected to have sent to the service since their loads were
     /// known; 0 if that isn't reckoned with.
     pub(crate) unseen: f64,
+    pub(crate) speeds: &'a Speeds,
 }
 
 impl Selection<'_> {
@@ -45,6 +47,7 @@
                 name: &tracked.endpoint.id,
                 requests: tracked.occupancy.requests(now),
                 slots: tracked.endpoint.slots,
+                speed: self.speeds.speed(&tracked.endpoint),
                 is_far: *tracked.endpoint.centre != *criteria.centre,
                 is_limited: tracked.limiter.max_rate().is_some(),
             })
--- a/crates/gateway/tests/sessions/support/fixture.rs
+++ b/crates/gateway/tests/sessions/support/fixture.rs
@@ -54,7 +54,7 @@
     /// Starts a gateway with the configuration, these endpoints of a service, and a routing with
     /// the parts that are switched on.
     pub fn with_routing(routing: Routing, service: &str, endpoints: &[&Endpoint]) -> Fixture {
-        let fixture = Fixture::start(routing);
+        let fixture = Fixture::unconfigured_with(routing);
         fixture.configure(service, endpoints);
         fixture
     }
@@ -109,10 +109,11 @@
 
     /// Starts a gateway without a configuration and endpoints.
     pub fn unconfigured() -> Fixture {
-        Fixture::start(Routing::default())
+        Fixture::unconfigured_with(Routing::default())
     }
 
-    fn start(routing: Routing) -> Fixture {
+    /// Starts a gateway without a configuration and endpoints, whose routing has settings.
+    pub fn unconfigured_with(routing: Routing) -> Fixture {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
         let routing = Arc::new(routing);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -31,4 +31,5 @@
 pub mod revision;
 pub mod roster;
 pub mod sequence;
+pub mod speed;
 pub mod spread;
--- a/crates/policy/src/observation.rs
+++ b/crates/policy/src/observation.rs
@@ -13,6 +13,7 @@
 use crate::exchange::PartsLedger;
 use crate::failure_rate::Sheet;
 use crate::rate_limit::Usage;
+use crate::speed::Sums;
 
 /// What one or several gateways have observed.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -21,6 +22,8 @@
     pub cold: Usage,
     /// Requests at endpoints that fail some of them.
     pub failures: Sheet,
+    /// Times of endpoints that are faster or slower than the others of their service.
+    pub speed: Sums,
 }
 
 /// What a gateway has observed, with what it answers for.
@@ -32,7 +35,7 @@
 impl Observations {
     /// Returns the number of rows.
     pub fn len(&self) -> usize {
-        self.cold.len() + self.failures.len()
+        self.cold.len() + self.failures.len() + self.speed.len()
     }
 
     /// Whether there is nothing to tell.
@@ -42,7 +45,7 @@
 
     /// Whether all rows are in order, as in a message that was received they may not be.
     pub fn is_valid(&self) -> bool {
-        self.cold.is_valid() && self.failures.is_valid()
+        self.cold.is_valid() && self.failures.is_valid() && self.speed.is_valid()
     }
 }
 
@@ -50,5 +53,6 @@
     fn add_all(&mut self, other: &Observations, age: Duration) {
         self.cold.add_all(&other.cold, age);
         self.failures.add_all(&other.failures, age);
+        self.speed.add_all(&other.speed, age);
     }
 }
--- a/crates/policy/tests/failure_rate_fleet/fleet.rs
+++ b/crates/policy/tests/failure_rate_fleet/fleet.rs
@@ -211,11 +211,12 @@
                 name,
                 requests: load(*endpoint),
                 slots: Some(self.scenario.slots),
+                speed: 1.0,
                 is_far: false,
                 is_limited: false,
             })
             .collect();
-        let query = choice::Query { part: None, tokens: 0, share: 0.0, seed };
+        let query = choice::Query { part: None, tokens: 0, share: 0.0, unseen: 0.0, seed };
         choice::order(&query, &candidates).first().map(|first| order[*first])
     }
 
--- a/crates/policy/tests/spread.rs
+++ b/crates/policy/tests/spread.rs
@@ -78,6 +78,7 @@
             name: NAMES[index],
             requests: own[index] + self.learnt[gateway][index],
             slots: Some(SLOTS as u32),
+            speed: 1.0,
             is_far: false,
             is_limited: false,
         };
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -43,6 +43,8 @@
     pub spread_stale_loads: bool,
     /// Whether failures of endpoints are shared with other gateways and used to choose endpoints.
     pub share_failures: bool,
+    /// Whether endpoints are chosen by how fast they work.
+    pub learn_speed: bool,
     /// Time for which the process stays reachable after a request to stop.
     pub stop_notice: Duration,
     /// Time for which requests in flight may continue after that.
@@ -94,6 +96,7 @@
         endpoints.check_keys(&[key::GATEWAY_ENDPOINTS], faults);
         let spread_stale_loads = endpoints.flag_or("spread_stale_loads", false, faults);
         let share_failures = endpoints.flag_or("share_failures", false, faults);
+        let learn_speed = endpoints.flag_or("learn_speed", false, faults);
         Some(Gateway {
             vm: vm?,
             centre: centre?,
@@ -111,6 +114,7 @@
             processes: u32::try_from(processes?).ok()?,
             spread_stale_loads: spread_stale_loads?,
             share_failures: share_failures?,
+            learn_speed: learn_speed?,
             stop_notice: Duration::from_millis(notice?),
             stop_grace: Duration::from_millis(grace?),
         })
--- a/crates/settings/tests/gateway.rs
+++ b/crates/settings/tests/gateway.rs
@@ -60,6 +60,7 @@
                 processes: 8,
                 spread_stale_loads: false,
                 share_failures: false,
+                learn_speed: false,
                 stop_notice: 2.6s,
                 stop_grace: 5s,
             }
@@ -131,6 +132,20 @@
     );
 }
 
+#[test]
+fn the_speed_of_endpoints_is_learnt_if_that_is_set() {
+    let text = format!("{VALID}[endpoints]\nlearn_speed = true\n");
+    let Ok(File::Gateway(gateway)) = File::parse(&text) else { panic!("the settings are valid") };
+    assert!(gateway.learn_speed);
+    check(
+        &text.replace("true", "1"),
+        expect![[r#"
+            the settings have faults; mend these lines:
+              line 22, `endpoints.learn_speed`: has the wrong type; write true or false
+        "#]],
+    );
+}
+
 #[test]
 fn every_key_is_documented() {
     let path = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/SETTINGS.md");
