Bound the memory that clients' bodies and responses take in a gateway

What callers saw: clients that nobody controls sent many large bodies at once, or did not read their responses, and the gateway's process ran out of memory and ended with all requests that it held.

Cause: read_body kept each body whole, and nothing bounded the sum. Bodies had no time limit. Whole responses were counted only until they were read from the endpoint, and a stream whose client read nothing was kept for ever.

Change: policy::memory decides on reservations against a ceiling, and gateway::memory carries that out. The ceiling follows from the new setting limit.memory_mb (default: that of the machine, 256 MB at most); bodies take half of it. A length is reserved before the body is read; a chunked body reserves the capacity of its buffer. Stalled and large unfinished bodies give way to others. A body has a longest pause and a lowest rate, a response a longest time without being read. Announced bodies over the limit get 413 at once. Buffers of sockets no longer grow. The setting's line is added to the settings of the hostile tests; their crowds and bounds are unchanged.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use gateway::Context;
+use gateway::Limits;
 use gateway::Member;
 use gateway::Peers;
 use gateway::Routing;
@@ -22,6 +23,7 @@
 
 use crate::Error;
 use crate::admin;
+use crate::memory;
 use crate::process;
 use crate::signals;
 
@@ -101,12 +103,26 @@
     readiness.block(Reason::Stopping);
 }
 
+fn limits(settings: &Gateway) -> Limits {
+    let memory = policy::memory::Limits::of_memory(settings.memory.unwrap_or_else(memory::default));
+    let connections = settings.connections.min(memory.connections);
+    log::info!(bodies = memory.bodies, reserve = memory.reserve, responses = memory.responses,
+        connections, is_set = settings.memory.is_some(); "limits of memory");
+    Limits {
+        connections,
+        memory,
+        body_stall: settings.body_stall,
+        body_rate: settings.body_rate,
+        response_stall: settings.response_stall,
+    }
+}
+
 fn context(settings: &Gateway, routing: Arc<Routing>, stop: CancellationToken) -> Context {
     Context {
         dialect: Arc::new(Codec),
         routing,
         centre: settings.centre.clone(),
-        max_connections: settings.connections,
+        limits: limits(settings),
         retry_ratio: settings.retry_ratio,
         retry_slack: settings.retry_slack,
         min_gateways: settings.processes,
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -6,6 +6,7 @@
 mod flags;
 mod gateway;
 mod gauges;
+mod memory;
 mod process;
 mod readiness;
 mod role;
--- a/crates/fleet/tests/hostile/gateway.rs
+++ b/crates/fleet/tests/hostile/gateway.rs
@@ -23,8 +23,9 @@
 /// Longest body that the configuration allows, in bytes.
 pub const MAX_BODY_BYTES: usize = 1_048_576;
 
-/// Memory of the smallest machine, in kB. Resident memory has to stay below it.
-const MEMORY_KB: u64 = 112 * 1_024;
+/// Memory of the smallest machine. Resident memory has to stay below it.
+const MEMORY_MB: u64 = 112;
+const MEMORY_KB: u64 = MEMORY_MB * 1_024;
 
 /// Descriptors of the gateway's machine. Its open ones have to stay below.
 const DESCRIPTORS: usize = 1_000;
@@ -74,6 +75,7 @@
             "role = \"gateway\"\nvm = \"g0\"\ncentre = \"a\"\n\n[listen]\nclients = \"{clients}\"\n\
              admin = \"{admin}\"\ncontrol = \"{control}\"\n\n[peer]\nseeds = [\"{control}\"]\n\n\
              [platform]\nstore = \"{}\"\n\n[limit]\ndescriptors = {DESCRIPTORS}\n\
+             memory_mb = {MEMORY_MB}\n\
              stop_notice_ms = 300\nstop_grace_ms = 5000\n\n\
              [retry]\nratio = 0.2\nslack = 60\nprocesses = 1\n",
             store.address
--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use futures_util::StreamExt;
 use http::HeaderMap;
+use http::header::CONTENT_LENGTH;
 use http::header::HOST;
 use ntex::web::HttpRequest;
 use ntex::web::types::Payload;
+use policy::memory::Purpose;
 use policy::quarantine;
 use policy::quarantine::Suspect;
 use route::Account;
@@ -18,12 +19,18 @@
 use route::Table;
 use tokio::time::Instant;
 use tokio::time::timeout;
+use tokio::time::timeout_at;
 
+use crate::memory::Buffer;
+use crate::memory::Held;
+use crate::record;
 use crate::refusal::Refusal;
 use crate::request::Request;
+use crate::worker::Worker;
 
-/// Longest body of a refused request that is still read, in bytes.
-const REFUSED_BODY_MAX_BYTES: usize = 64 * 1024;
+/// Most bytes of the body of a refused request that are still read, and dropped. Most clients send
+/// shorter bodies, and get the refusal.
+const REFUSED_BODY_MAX_BYTES: usize = 256 * 1024;
 
 /// Time limit for reading the body of a refused request.
 const REFUSED_BODY_TIMEOUT: Duration = Duration::from_millis(500);
@@ -36,27 +43,38 @@
 /// # Errors
 ///
 /// The [`Refusal`] that the client is sent: no configuration, route or client account, or a
-/// body that is too long or can't be read.
+/// body that is too long, too slow, for which there is no room, or that can't be read.
 pub(crate) async fn read_request(
+    worker: &Worker,
     table: &Table,
     head: &HttpRequest,
     headers: HeaderMap,
     metadata: Metadata,
-    payload: Payload,
+    mut payload: Payload,
     start: Instant,
 ) -> Result<Request, Refusal> {
     let host = host(&headers);
     let (rule, account) = match authorise(table, &host, head.path(), &metadata) {
         Ok(authorised) => authorised,
         Err(refusal) => {
-            discard(payload).await;
+            discard(&mut payload).await;
             return Err(refusal);
         }
     };
     let time_limit =
         metadata.timeout.map_or(rule.timeout, |time_limit| time_limit.min(rule.timeout));
     let deadline = start + time_limit.min(MAX_TIME_LIMIT);
-    let body = read_body(payload, table.limits().body_bytes).await?;
+    let length = length(&headers);
+    let (body, held) =
+        match read_body(worker, &mut payload, length, table.limits().body_bytes).await {
+            Ok(read) => read,
+            Err(refusal) => {
+                if matches!(refusal, Refusal::TooLong | Refusal::Memory) {
+                    discard(&mut payload).await;
+                }
+                return Err(refusal);
+            }
+        };
     let uri = head.uri();
     let target = uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
     let service = rule.service(metadata.id.as_deref().unwrap_or_default()).clone();
@@ -70,6 +88,7 @@
         target,
         headers,
         body,
+        _held: held,
         content,
         suspect,
         metadata,
@@ -104,29 +123,82 @@
     Ok((rule, account))
 }
 
-/// Reads and drops the body of a refused request. The server closes a connection with an
-/// unread body, and the client might then get a TCP reset instead of the response.
-async fn discard(payload: Payload) {
-    let read = timeout(REFUSED_BODY_TIMEOUT, read_body(payload, REFUSED_BODY_MAX_BYTES)).await;
-    if !matches!(read, Ok(Ok(_))) {
+/// Reads and drops the body of a refused request, within bounds. The server closes a connection with
+/// an unread body, and the client might then get a TCP reset instead of the response.
+async fn discard(payload: &mut Payload) {
+    let read = async {
+        let mut bytes = 0;
+        while let Some(Ok(chunk)) = payload.next().await {
+            bytes += chunk.len();
+            if bytes > REFUSED_BODY_MAX_BYTES {
+                return false;
+            }
+        }
+        true
+    };
+    if !matches!(timeout(REFUSED_BODY_TIMEOUT, read).await, Ok(true)) {
         log::info!("the body of a refused request was not read completely");
     }
 }
 
-/// Reads a request body of at most `max_bytes`.
-async fn read_body(mut payload: Payload, max_bytes: usize) -> Result<Bytes, Refusal> {
-    let mut body = BytesMut::new();
-    while let Some(chunk) = payload.next().await {
+/// Reads a request body of at most `max_bytes`, of which the client has announced `length`.
+///
+/// Memory for the announced length is reserved at once, so that a body for which there is no room is
+/// refused before it is read. Without a length, the reservation grows with the body.
+async fn read_body(
+    worker: &Worker,
+    payload: &mut Payload,
+    length: Option<usize>,
+    max_bytes: usize,
+) -> Result<(Bytes, Held), Refusal> {
+    if length.is_some_and(|length| length > max_bytes) {
+        return Err(Refusal::TooLong);
+    }
+    let limits = &worker.context.limits;
+    let mut buffer = Buffer::new(worker.memory.hold(Purpose::Request), max_bytes);
+    if !buffer.reserve(length.unwrap_or_default()) {
+        return Err(no_room());
+    }
+    let start = Instant::now() + limits.body_stall;
+    loop {
+        let arrival = Duration::from_secs((buffer.len() / limits.body_rate as usize) as u64);
+        let deadline = (start + arrival).min(Instant::now() + limits.body_stall);
+        let chunk = tokio::select! {
+            biased;
+            () = buffer.held().evicted() => {
+                log::info!(received = buffer.len(), length:?; "a body gives way to others");
+                return Err(no_room());
+            }
+            chunk = timeout_at(deadline, payload.next()) => chunk,
+        };
+        let chunk = chunk.map_err(|_| {
+            log::info!(received = buffer.len(), length:?; "a body arrives too slowly");
+            Refusal::Slow
+        })?;
+        let Some(chunk) = chunk else { return Ok(buffer.finish()) };
         let chunk = chunk.map_err(|error| {
             log::info!("reading a request body failed: {error}");
             Refusal::BadBody
         })?;
-        if body.len() + chunk.len() > max_bytes {
+        if buffer.len() + chunk.len() > max_bytes {
             return Err(Refusal::TooLong);
         }
-        body.extend_from_slice(&chunk);
+        if !buffer.extend(&chunk) {
+            return Err(no_room());
+        }
     }
-    Ok(body.freeze())
+}
+
+/// Counts a request body for which there is no room.
+fn no_room() -> Refusal {
+    record::full("request");
+    Refusal::Memory
+}
+
+/// Returns the length that a client has announced for a body; the largest if it is not valid.
+fn length(headers: &HeaderMap) -> Option<usize> {
+    let value = headers.get(CONTENT_LENGTH)?;
+    Some(value.to_str().ok().and_then(|text| text.parse().ok()).unwrap_or(usize::MAX))
 }
 
 /// Returns the host of the `Host` header in lower case, without its port.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::StatusCode;
@@ -14,6 +13,7 @@
 use link::Connection;
 use link::Failure;
 use link::Response;
+use policy::memory::Purpose;
 use route::Endpoint;
 use route::Reply;
 use tokio::time::Instant;
@@ -22,6 +22,9 @@
 use crate::crash_check;
 use crate::criteria::Choice;
 use crate::in_flight::InFlight;
+use crate::memory::Buffer;
+use crate::memory::Held;
+use crate::record;
 use crate::request::Request;
 use crate::worker::Worker;
 
@@ -57,6 +60,8 @@
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Memory that the body takes.
+    pub(crate) held: Rc<Held>,
 }
 
 /// The head of an event stream, with what is needed to read its events.
@@ -161,8 +166,8 @@
         }));
     }
     let (head, body) = response.into_parts();
-    let body = match collect(worker, body).await {
-        Ok(body) => body,
+    let (body, held) = match collect(worker, body).await {
+        Ok(collected) => collected,
         Err(cause) if reply.is_not_run => {
             log::debug!(id = request.id(); "reading the body of a refusal failed: {cause}");
             return Outcome::NotRun;
@@ -182,7 +187,8 @@
         routing.record_success(endpoint, sent.elapsed());
         routing.record_sound(&request.suspect);
     }
-    Outcome::Full(FullResponse { status, headers: head.headers, body })
+    let held = Rc::new(held);
+    Outcome::Full(FullResponse { status, headers: head.headers, body, held })
 }
 
 /// Whether a response may be an event stream. A body of another type has no events by whose ends
@@ -201,21 +207,21 @@
 ///
 /// A description of why that failed: the body broke off, it is too long, or the bodies that are
 /// read at the same time take too much memory together.
-async fn collect(worker: &Worker, mut body: Body) -> Result<Bytes, String> {
-    let mut reserved = worker.buffers.reserve();
-    let mut bytes = BytesMut::new();
+async fn collect(worker: &Worker, mut body: Body) -> Result<(Bytes, Held), String> {
+    let held = worker.memory.hold(Purpose::Response);
+    let mut buffer = Buffer::new(held, RESPONSE_MAX_BYTES);
     while let Some(frame) = body.frame().await {
         // Trailers are ignored.
         let Ok(data) = frame.map_err(|error| error.to_string())?.into_data() else { continue };
-        if bytes.len() + data.len() > RESPONSE_MAX_BYTES {
+        if buffer.len() + data.len() > RESPONSE_MAX_BYTES {
             return Err(format!("the body is longer than {RESPONSE_MAX_BYTES} bytes"));
         }
-        if !reserved.grow(data.len()) {
+        if !buffer.extend(&data) {
+            record::full("response");
             return Err("the bodies of all responses take too much memory".to_owned());
         }
-        bytes.extend_from_slice(&data);
     }
-    Ok(bytes.freeze())
+    Ok(buffer.finish())
 }
 
 /// Checks that a response belongs to the request.
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -1,5 +1,6 @@
 //! Client connections, and which of them are idle.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -21,6 +22,8 @@
     requests: u32,
     /// When its last response was complete.
     idle_since: Instant,
+    /// Since when a part of a response waits for the client to read it.
+    waiting_since: Rc<Cell<Option<Instant>>>,
     /// Whether it is being closed, so that no response can be written to it.
     is_closing: bool,
 }
@@ -30,6 +33,7 @@
 pub(crate) struct Busy {
     open: Rc<RefCell<Vec<Connection>>>,
     io: IoRef,
+    waiting_since: Rc<Cell<Option<Instant>>>,
 }
 
 impl Connections {
@@ -39,12 +43,20 @@
     /// response to a request that arrives then, so the request must not be forwarded.
     pub(crate) fn busy(&self, io: &IoRef) -> Option<Busy> {
         let mut open = self.open.borrow_mut();
-        match open.iter_mut().find(|connection| connection.io == *io) {
+        let waiting_since = match open.iter_mut().find(|connection| connection.io == *io) {
             Some(connection) if connection.is_closing => return None,
-            Some(connection) => connection.requests += 1,
-            None => open.push(Connection::new(io)),
-        }
-        Some(Busy { open: Rc::clone(&self.open), io: io.clone() })
+            Some(connection) => {
+                connection.requests += 1;
+                Rc::clone(&connection.waiting_since)
+            }
+            None => {
+                let connection = Connection::new(io);
+                let waiting_since = Rc::clone(&connection.waiting_since);
+                open.push(connection);
+                waiting_since
+            }
+        };
+        Some(Busy { open: Rc::clone(&self.open), io: io.clone(), waiting_since })
     }
 
     /// Closes connections that have been idle for at least `idle`, and returns their number.
@@ -58,11 +70,34 @@
         });
         closed.count()
     }
+
+    /// Closes connections whose clients have read nothing of a response for at least `limit`, and
+    /// returns their number.
+    pub(crate) fn close_unread(&self, limit: Duration) -> usize {
+        let mut open = self.open.borrow_mut();
+        let unread = open.iter_mut().filter(|connection| connection.is_unread(limit));
+        let closed = unread.map(|connection| {
+            connection.is_closing = true;
+            connection.io.close();
+        });
+        closed.count()
+    }
 }
 
 impl Connection {
     fn new(io: &IoRef) -> Connection {
-        Connection { io: io.clone(), requests: 1, idle_since: Instant::now(), is_closing: false }
+        Connection {
+            io: io.clone(),
+            requests: 1,
+            idle_since: Instant::now(),
+            waiting_since: Rc::default(),
+            is_closing: false,
+        }
+    }
+
+    fn is_unread(&self, limit: Duration) -> bool {
+        let waiting_since = self.waiting_since.get();
+        !self.is_closing && waiting_since.is_some_and(|since| since.elapsed() >= limit)
     }
 
     fn is_idle(&self, idle: Duration) -> bool {
@@ -70,11 +105,19 @@
     }
 }
 
+impl Busy {
+    /// Records that a part of the response waits for the client to read it, or no longer does.
+    pub(crate) fn set_waiting(&self, is_waiting: bool) {
+        self.waiting_since.set(is_waiting.then(Instant::now));
+    }
+}
+
 impl Drop for Busy {
     fn drop(&mut self) {
         let mut open = self.open.borrow_mut();
         if let Some(connection) = open.iter_mut().find(|connection| connection.io == self.io) {
             connection.requests -= 1;
+            connection.waiting_since.set(None);
             connection.idle_since = Instant::now();
         }
     }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -3,12 +3,28 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use policy::memory;
 use route::Dialect;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::Routing;
 
+/// Bounds on what clients may hold; `docs/design/memory.md` has what happens at each.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// Client connections that may be open at the same time.
+    pub connections: usize,
+    /// Memory for bodies.
+    pub memory: memory::Limits,
+    /// Longest time without bytes of a body that is expected.
+    pub body_stall: Duration,
+    /// Lowest mean rate of a body in bytes per second, after `body_stall`.
+    pub body_rate: u32,
+    /// Longest time for which a client may read nothing of a response.
+    pub response_stall: Duration,
+}
+
 /// Dependencies, settings and shutdown tokens that a gateway's server is started with.
 #[derive(Clone)]
 pub struct Context {
@@ -18,8 +34,8 @@
     pub routing: Arc<Routing>,
     /// The data centre of this gateway.
     pub centre: String,
-    /// Client connections that may be open at the same time.
-    pub max_connections: usize,
+    /// Bounds on what clients may hold.
+    pub limits: Limits,
     /// Retries that all gateways together may send per request.
     pub retry_ratio: f64,
     /// Retries that all gateways together may send on top of the ratio.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,7 +7,6 @@
 
 mod accept;
 mod attempt;
-mod buffers;
 mod connections;
 mod context;
 mod crash_check;
@@ -19,9 +18,11 @@
 mod feed;
 mod forward;
 mod framing;
+mod full;
 mod headers;
 mod history;
 mod in_flight;
+mod memory;
 mod notice;
 mod origins;
 mod peer;
@@ -40,6 +41,7 @@
 mod worker;
 
 pub use context::Context;
+pub use context::Limits;
 pub use feed::follow;
 pub use peer::Member;
 pub use peer::Mirror;
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -2,6 +2,8 @@
 //!
 //! `docs/METRICS.md` lists the metrics.
 
+use std::time::Duration;
+
 use metrics::counter;
 use metrics::gauge;
 use metrics::histogram;
@@ -25,6 +27,20 @@
     count("-", "-", refusal.name());
 }
 
+/// Counts a body for which there was no room.
+pub(crate) fn full(body: &'static str) {
+    counter!("lycheeknot_gateway_memory_full_total", "body" => body).increment(1);
+}
+
+/// Records connections that were closed since their clients read nothing of their responses.
+pub(crate) fn unread(connections: usize, after: Duration) {
+    if connections == 0 {
+        return;
+    }
+    log::warn!(connections, after:?; "closed: the clients read nothing of their responses");
+    counter!("lycheeknot_gateway_unread_total").increment(connections as u64);
+}
+
 /// Guard that records a request as abandoned if it is dropped before the response starts,
 /// which happens when the client disconnects.
 pub(crate) struct Pending<'a> {
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -22,6 +22,10 @@
     NoAccount,
     /// the body is longer than the operators allow; send less
     TooLong,
+    /// bodies take too much memory now; it did not run, come back later
+    Memory,
+    /// the body arrives too slowly; it did not run, send it whole
+    Slow,
     /// the body broke off or can't be read; send it whole
     BadBody,
     /// no endpoint takes work now; it did not run, come back later
@@ -50,6 +54,9 @@
 /// about a second.
 const VERSION_RETRY_DELAY: Duration = Duration::from_millis(1_000);
 
+/// The same where bodies take too much memory. A stalled body gives way after two seconds.
+const MEMORY_RETRY_DELAY: Duration = Duration::from_millis(2_000);
+
 impl Refusal {
     /// Returns its label in logs and metrics.
     pub(crate) fn name(self) -> &'static str {
@@ -60,6 +67,8 @@
             Refusal::NoAccount => "no_account",
             Refusal::TooLong => "too_long",
             Refusal::BadBody => "bad_body",
+            Refusal::Memory => "memory",
+            Refusal::Slow => "slow",
             Refusal::NotRun => "not_run",
             Refusal::Limited(_) => "limited",
             Refusal::Paused(_) => "paused",
@@ -76,6 +85,7 @@
         match self {
             Refusal::NoTable
             | Refusal::Closing
+            | Refusal::Memory
             | Refusal::NotRun
             | Refusal::Limited(_)
             | Refusal::Paused(_)
@@ -86,6 +96,7 @@
             Refusal::NoAccount => StatusCode::UNAUTHORIZED,
             Refusal::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::BadBody => StatusCode::BAD_REQUEST,
+            Refusal::Slow => StatusCode::REQUEST_TIMEOUT,
             Refusal::Unknown => StatusCode::BAD_GATEWAY,
             Refusal::Late => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -96,6 +107,7 @@
         match self {
             Refusal::Limited(left) | Refusal::Paused(left) | Refusal::Quarantined(left) => left,
             Refusal::UnknownVersion | Refusal::NoVersion => VERSION_RETRY_DELAY,
+            Refusal::Memory => MEMORY_RETRY_DELAY,
             _ => RETRY_DELAY,
         }
     }
@@ -109,7 +121,15 @@
             let tenths = self.retry_delay().as_millis().div_ceil(100);
             response.set_header(RETRY_AFTER, format!("{}.{}", tenths / 10, tenths % 10));
         }
-        if matches!(self, Refusal::Closing | Refusal::TooLong | Refusal::BadBody) {
+        let closes = matches!(
+            self,
+            Refusal::Closing
+                | Refusal::TooLong
+                | Refusal::BadBody
+                | Refusal::Memory
+                | Refusal::Slow
+        );
+        if closes {
             // Unread bytes of the body may be left on the connection, or the process is stopping.
             response.force_close();
         }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -100,6 +100,11 @@
         &self.headers
     }
 
+    /// Returns the number of bytes that were received after the last whole event.
+    pub(crate) fn rest_len(&self) -> usize {
+        self.events.rest_len()
+    }
+
     /// Returns the next whole events; `None` after the end of the stream.
     ///
     /// # Errors
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -22,6 +22,7 @@
 use tokio::time::Instant;
 
 use crate::criteria::Choice;
+use crate::memory::Held;
 
 /// A client's request with its whole body, its route and its deadline.
 #[derive(Debug)]
@@ -31,6 +32,8 @@
     pub(crate) target: String,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Memory that the body takes.
+    pub(crate) _held: Held,
     /// Hash by which it is known when it comes again.
     pub(crate) content: PartId,
     /// What it may be blamed for if endpoints crash.
--- a/crates/gateway/src/response_guard.rs
+++ b/crates/gateway/src/response_guard.rs
@@ -9,7 +9,7 @@
 /// Keeps the process running and the client's connection open until a response is complete.
 #[derive(Debug)]
 pub(crate) struct ResponseGuard {
-    _busy: Busy,
+    busy: Busy,
     _token: TaskTrackerToken,
 }
 
@@ -22,7 +22,12 @@
     /// the check.
     pub(crate) fn begin(worker: &Worker, head: &HttpRequest) -> Option<ResponseGuard> {
         let busy = worker.connections.busy(head.io()?)?;
-        let guard = ResponseGuard { _busy: busy, _token: worker.context.responses.token() };
+        let guard = ResponseGuard { busy, _token: worker.context.responses.token() };
         (!worker.context.finished.is_cancelled()).then_some(guard)
     }
+
+    /// Records that a part of the response waits for the client to read it, or no longer does.
+    pub(crate) fn set_waiting(&self, is_waiting: bool) {
+        self.busy.set_waiting(is_waiting);
+    }
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -19,6 +19,7 @@
 use ntex::web::HttpServer;
 use ntex::web::types::Payload;
 use ntex::web::types::State;
+use policy::memory::Purpose;
 use rustix::event::PollFd;
 use rustix::event::PollFlags;
 use rustix::event::Timespec;
@@ -31,7 +32,9 @@
 use crate::Context;
 use crate::accept;
 use crate::forward;
+use crate::full;
 use crate::headers;
+use crate::memory::Held;
 use crate::record;
 use crate::refusal::Refusal;
 use crate::relay::Relay;
@@ -61,6 +64,10 @@
 /// drops their first packet, and TCP sends it again only a second later.
 const BACKLOG: i32 = 4_096;
 
+/// Size of the send and receive buffers of a client's socket, in bytes, as asked for. Linux doubles
+/// it and uses half of that for bytes: the usual size of a new connection, which then does not grow.
+const SOCKET_BUFFER_BYTES: usize = 64 * 1024;
+
 /// Interval between checks whether the first read is complete.
 const FIRST_READ_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -93,10 +100,11 @@
 ///
 /// The server can't be started.
 pub async fn serve_on(listener: TcpListener, context: Context) -> io::Result<()> {
-    let max_connections = context.max_connections;
+    let max_connections = context.limits.connections;
     let (stop, notice, grace) = (context.stop.clone(), context.stop_notice, context.stop_grace);
     let (responses, finished) = (context.responses.clone(), context.finished.clone());
     let accepting = Socket::from(listener.try_clone()?);
+    limit_buffers(&accepting);
     accepting.listen(BACKLOG)?;
     wait_for_first_read(&context).await;
     let http = HttpServiceConfig::new().set_keepalive(KEEP_ALIVE_TIMEOUT).set_headers_read_rate(
@@ -146,6 +154,18 @@
     }
 }
 
+/// Limits the buffers of the sockets that are accepted. The system would let each of them grow to
+/// several megabytes while a client sends faster than the process reads, or does not read.
+fn limit_buffers(listener: &Socket) {
+    let outcomes = [
+        listener.set_recv_buffer_size(SOCKET_BUFFER_BYTES),
+        listener.set_send_buffer_size(SOCKET_BUFFER_BYTES),
+    ];
+    for error in outcomes.into_iter().filter_map(Result::err) {
+        log::warn!("the system sizes the buffers of sockets: {error}");
+    }
+}
+
 /// Stops listening, so that the system refuses further connections at once. The server itself
 /// keeps its listener open until the process ends, without accepting from it.
 ///
@@ -197,6 +217,9 @@
         sleep(SWEEP_INTERVAL).await;
         worker.pool.sweep();
         worker.connections.close_idle(worker.context.routing.table().limits().idle);
+        let response_stall = worker.context.limits.response_stall;
+        record::unread(worker.connections.close_unread(response_stall), response_stall);
+        worker.memory.record();
     }
 }
 
@@ -223,7 +246,8 @@
     let id = metadata.id.clone();
     let table = worker.context.routing.table();
     let accepted =
-        match accept::read_request(&table, &head, headers, metadata, payload, start).await {
+        match accept::read_request(&worker, &table, &head, headers, metadata, payload, start).await
+        {
             Ok(request) if worker.is_too_late_for(&request) => Err(Refusal::Closing),
             accepted => accepted,
         };
@@ -240,14 +264,15 @@
             let mut response = HttpResponse::build(full.status);
             headers::to_client(&full.headers, &mut response);
             close_if(is_stopping, &mut response);
-            response.body(ntex::util::Bytes::copy_from_slice(&full.body))
+            response.body(full::body(full, guard))
         }
         Ok(Response::Stream(relay)) => {
             let mut response = HttpResponse::build(relay.status());
             headers::to_client(relay.headers(), &mut response);
             close_if(is_stopping, &mut response);
             let io = head.io().cloned();
-            response.streaming(Box::pin(chunks(relay, io, guard)))
+            let held = worker.memory.hold(Purpose::Response);
+            response.streaming(Box::pin(chunks(relay, io, guard, held)))
         }
         Err(refusal) => refusal.response(),
     }
@@ -261,8 +286,11 @@
     relay: Box<Relay>,
     io: Option<IoRef>,
     guard: ResponseGuard,
+    held: Held,
 ) -> impl Stream<Item = io::Result<ntex::util::Bytes>> {
-    stream::unfold((relay, io, guard), |(mut relay, io, guard)| async move {
+    stream::unfold((relay, io, guard, held), |(mut relay, io, guard, held)| async move {
+        guard.set_waiting(false);
+        held.set(0);
         let chunk = relay.next().await?;
         if chunk.is_err()
             && let Some(io) = &io
@@ -270,7 +298,10 @@
             io.close();
         }
         let chunk = chunk.map(|bytes| ntex::util::Bytes::copy_from_slice(&bytes));
-        Some((chunk, (relay, io, guard)))
+        // The server takes the next events once the client has read most of these.
+        guard.set_waiting(true);
+        held.set(chunk.as_ref().map_or(0, |bytes| bytes.len()) + relay.rest_len());
+        Some((chunk, (relay, io, guard, held)))
     })
 }
 
--- a/crates/gateway/src/worker.rs
+++ b/crates/gateway/src/worker.rs
@@ -10,8 +10,8 @@
 use tokio::time::Instant;
 
 use crate::Context;
-use crate::buffers::Buffers;
 use crate::connections::Connections;
+use crate::memory::Memory;
 use crate::request::Request;
 
 /// State that the requests of one worker thread share.
@@ -19,8 +19,8 @@
     pub(crate) context: Context,
     pub(crate) pool: Pool,
     pub(crate) connections: Connections,
-    /// Memory of the responses that are being read.
-    pub(crate) buffers: Buffers,
+    /// Memory that bodies of requests and responses take.
+    pub(crate) memory: Memory,
     /// Set when the process is draining: the time after which no response is sent any more.
     drain_deadline: Cell<Option<Instant>>,
     /// Retry budgets, sorted by service.
@@ -30,11 +30,12 @@
 impl Worker {
     /// Creates the state of a worker that has no connections yet.
     pub(crate) fn new(context: Context) -> Worker {
+        let memory = Memory::new(context.limits.memory);
         Worker {
             context,
             pool: Pool::default(),
             connections: Connections::default(),
-            buffers: Buffers::default(),
+            memory,
             drain_deadline: Cell::new(None),
             retries: Mutex::default(),
         }
--- a/crates/gateway/tests/sessions/main.rs
+++ b/crates/gateway/tests/sessions/main.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod endless;
 mod heads;
+mod held;
 mod limits;
 mod loads;
 mod notices;
--- a/crates/gateway/tests/sessions/support/fixture.rs
+++ b/crates/gateway/tests/sessions/support/fixture.rs
@@ -8,8 +8,10 @@
 use std::time::Duration;
 
 use gateway::Context;
+use gateway::Limits;
 use gateway::Routing;
 use platform::Codec;
+use policy::memory;
 use route::Dialect;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -81,8 +83,19 @@
         self.server.is_finished()
     }
 
+    /// Starts a gateway with other limits than [`limits`].
+    pub fn limited(service: &str, endpoints: &[&Endpoint], limits: Limits) -> Fixture {
+        let fixture = Fixture::start(limits);
+        fixture.configure(service, endpoints);
+        fixture
+    }
+
     /// Starts a gateway without a configuration and endpoints.
     pub fn unconfigured() -> Fixture {
+        Fixture::start(limits())
+    }
+
+    fn start(limits: Limits) -> Fixture {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
         let routing = Arc::new(Routing::default());
@@ -92,7 +105,7 @@
             dialect: Arc::new(Codec),
             routing: Arc::clone(&routing),
             centre: "a".to_owned(),
-            max_connections: 1_000,
+            limits,
             retry_ratio: 10.0,
             retry_slack: 100.0,
             min_gateways: 1,
@@ -110,6 +123,17 @@
     }
 }
 
+/// Returns limits that only broken clients meet.
+pub fn limits() -> Limits {
+    Limits {
+        connections: 1_000,
+        memory: memory::Limits::of_memory(256 * 1024 * 1024),
+        body_stall: Duration::from_secs(10),
+        body_rate: 8_192,
+        response_stall: Duration::from_secs(15),
+    }
+}
+
 impl Drop for Fixture {
     fn drop(&mut self) {
         self.stop.cancel();
--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -39,6 +39,12 @@
 /// lost power hangs until the request's own timeout.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Sizes of the buffers of a socket in bytes, as asked for; Linux doubles them. The system would
+/// let each grow to several megabytes while a peer sends faster than the process reads, or reads
+/// slower than it sends.
+const RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
+const SEND_BUFFER_BYTES: usize = 128 * 1024;
+
 /// Interval of TCP keepalive probes on a quiet connection. A dead peer is detected within
 /// [`UNACKNOWLEDGED_TIMEOUT`] after a probe.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -196,7 +202,7 @@
     times.next()?.parse().ok()
 }
 
-/// Sets the socket options by which a dead peer is detected early. If the system lacks one, its
+/// Sets the socket options by which a dead peer is detected early, and the sizes of buffers. If the system lacks one, its
 /// default applies.
 fn set_socket_options(stream: &TcpStream) {
     let socket = SockRef::from(stream);
@@ -205,6 +211,8 @@
     let outcomes = [
         stream.set_nodelay(true),
         socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT)),
+        socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES),
+        socket.set_send_buffer_size(SEND_BUFFER_BYTES),
         socket.set_tcp_keepalive(&probes.with_retries(2)),
     ];
     for error in outcomes.into_iter().filter_map(Result::err) {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod home;
 pub mod leadership;
 pub mod mean;
+pub mod memory;
 pub mod observation;
 pub mod occupancy;
 pub mod orders;
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -29,8 +29,16 @@
     pub writes_per_s: f64,
     /// Processor share of the VM, in thousandths of a core.
     pub capacity: u32,
-    /// Most client connections that are open at the same time.
+    /// Most client connections that are open at the same time, by the descriptors.
     pub connections: usize,
+    /// Memory of the VM in bytes, if it is set.
+    pub memory: Option<usize>,
+    /// Longest time without bytes of a body that is expected.
+    pub body_stall: Duration,
+    /// Lowest mean rate of a body in bytes per second.
+    pub body_rate: u32,
+    /// Longest time for which a client may read nothing of a response.
+    pub response_stall: Duration,
     /// Retries that the whole fleet may send per request.
     pub retry_ratio: f64,
     /// Retries that the whole fleet may send in addition to the ratio.
@@ -47,6 +55,19 @@
 /// File descriptors per client connection: each may need another to an endpoint.
 const DESCRIPTORS_PER_CLIENT: u64 = 2;
 
+/// Bytes in a megabyte of `memory_mb`.
+const MEGABYTE: u64 = 1024 * 1024;
+
+/// Longest time without bytes of a body, in milliseconds: long enough for a client whose packets are
+/// lost several times in a row, and shorter than most callers wait for their answers.
+const DEFAULT_BODY_STALL_MS: u64 = 10_000;
+
+/// Lowest mean rate of a body: 140,000 bytes, the most that ordinary clients send, may take 27 s.
+const DEFAULT_BODY_BYTES_PER_S: u64 = 8_192;
+
+/// Longest time for which a client may read nothing: the idle timeout of usual configurations.
+const DEFAULT_RESPONSE_STALL_MS: u64 = 15_000;
+
 /// Writes per second of the smallest service that is known.
 const DEFAULT_WRITES_PER_S: f64 = 400.0;
 
@@ -78,6 +99,10 @@
         limit.check_keys(&[key::GATEWAY_LIMIT], faults);
         let descriptors = limit.required_number("descriptors", 256, 1 << 20, faults);
         let cores = limit.decimal_or("cores", 1.0, 0.001, 10_000.0, faults);
+        let memory = limit.number("memory_mb", 16, 1 << 20, faults);
+        let body_stall = limit.number("body_stall_ms", 1_000, 600_000, faults);
+        let body_rate = limit.number("body_bytes_per_s", 1, 1 << 30, faults);
+        let response_stall = limit.number("response_stall_ms", 1_000, 600_000, faults);
         let notice = limit.required_number("stop_notice_ms", 0, 60_000, faults);
         let grace = limit.required_number("stop_grace_ms", 1_000, 3_600_000, faults);
         let retry = root.child("retry", faults);
@@ -97,6 +122,12 @@
             // The range that was checked fits.
             capacity: (cores? * 1_000.0) as u32,
             connections: usize::try_from(descriptors? / DESCRIPTORS_PER_CLIENT).ok()?,
+            memory: memory.and_then(|megabytes| usize::try_from(megabytes * MEGABYTE).ok()),
+            body_stall: Duration::from_millis(body_stall.unwrap_or(DEFAULT_BODY_STALL_MS)),
+            body_rate: u32::try_from(body_rate.unwrap_or(DEFAULT_BODY_BYTES_PER_S)).ok()?,
+            response_stall: Duration::from_millis(
+                response_stall.unwrap_or(DEFAULT_RESPONSE_STALL_MS),
+            ),
             retry_ratio: ratio?,
             retry_slack: slack?,
             processes: u32::try_from(processes?).ok()?,
--- a/crates/settings/src/key.rs
+++ b/crates/settings/src/key.rs
@@ -47,7 +47,16 @@
 pub const GATEWAY_PLATFORM: &[&str] = &["store", "writes_per_s"];
 
 /// Keys of a gateway's `[limit]`.
-pub const GATEWAY_LIMIT: &[&str] = &["cores", "descriptors", "stop_notice_ms", "stop_grace_ms"];
+pub const GATEWAY_LIMIT: &[&str] = &[
+    "cores",
+    "descriptors",
+    "memory_mb",
+    "body_stall_ms",
+    "body_bytes_per_s",
+    "response_stall_ms",
+    "stop_notice_ms",
+    "stop_grace_ms",
+];
 
 /// Keys of a gateway's `[retry]`.
 pub const GATEWAY_RETRY: &[&str] = &["ratio", "slack", "processes"];
--- a/crates/settings/tests/gateway.rs
+++ b/crates/settings/tests/gateway.rs
@@ -55,6 +55,10 @@
                 writes_per_s: 400.0,
                 capacity: 190,
                 connections: 2050,
+                memory: None,
+                body_stall: 10s,
+                body_rate: 8192,
+                response_stall: 15s,
                 retry_ratio: 0.2,
                 retry_slack: 58.0,
                 processes: 8,
@@ -65,6 +69,36 @@
     );
 }
 
+/// Guards against limits of memory that are not read, or are read in another unit.
+#[test]
+fn limits_of_memory_are_read() {
+    let limits = "descriptors = 4100\nmemory_mb = 112\nbody_stall_ms = 5000\n\
+                  body_bytes_per_s = 1024\nresponse_stall_ms = 7000";
+    let text = VALID.replace("descriptors = 4100", limits);
+    let Ok(File::Gateway(gateway)) = File::parse(&text) else { panic!("the settings are valid") };
+    assert_eq!(gateway.memory, Some(112 * 1024 * 1024));
+    assert_eq!(gateway.body_stall.as_millis(), 5_000);
+    assert_eq!(gateway.body_rate, 1_024);
+    assert_eq!(gateway.response_stall.as_millis(), 7_000);
+}
+
+/// Guards against limits that no machine has, and that refuse or allow everything.
+#[test]
+fn limits_of_memory_out_of_range_are_faults() {
+    let limits = "descriptors = 4100\nmemory_mb = 8\nbody_stall_ms = 0\n\
+                  body_bytes_per_s = 0\nresponse_stall_ms = -1";
+    check(
+        &VALID.replace("descriptors = 4100", limits),
+        expect![[r#"
+            the settings have faults; mend these lines:
+              line 15, `limit.memory_mb`: is out of range; use a whole number from 16 to 1048576
+              line 16, `limit.body_stall_ms`: is out of range; use a whole number from 1000 to 600000
+              line 17, `limit.body_bytes_per_s`: is out of range; use a whole number from 1 to 1073741824
+              line 18, `limit.response_stall_ms`: is out of range; use a whole number from 1000 to 600000
+        "#]],
+    );
+}
+
 #[test]
 fn all_faults_are_reported_at_once() {
     let text = VALID
@@ -80,7 +114,7 @@
               line 6, `listen.admin`: is already taken by another listener; choose a port of its own
               line 11, `platform.store`: is not a socket address; write an IP number and a port, as in "10.0.0.7:7001"
               line 12, `limit.descriptors`: is missing; add a whole number
-              line 14, `limit.descriptor`: is not known; remove it or use one of: cores, descriptors, stop_notice_ms, stop_grace_ms
+              line 14, `limit.descriptor`: is not known; remove it or use one of: cores, descriptors, memory_mb, body_stall_ms, body_bytes_per_s, response_stall_ms, stop_notice_ms, stop_grace_ms
               line 18, `retry.ratio`: has the wrong type; write a number, as in 0.2
               line 20, `retry.processes`: is out of range; use a whole number from 1 to 100000
         "#]],
