--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::StatusCode;
@@ -15,6 +14,7 @@
 use link::Failure;
 use link::Response;
 use policy::exchange;
+use policy::memory::Purpose;
 use policy::speed::Kind;
 use policy::speed::Work;
 use route::Endpoint;
@@ -25,6 +25,9 @@
 use crate::crash_check;
 use crate::criteria::Choice;
 use crate::in_flight::InFlight;
+use crate::memory::Buffer;
+use crate::memory::Held;
+use crate::record;
 use crate::request::Request;
 use crate::worker::Worker;
 
@@ -60,6 +63,8 @@
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Memory that the body takes.
+    pub(crate) held: Rc<Held>,
 }
 
 /// The head of an event stream, with what is needed to read its events.
@@ -175,8 +180,8 @@
         }));
     }
     let (head, body) = response.into_parts();
-    let body = match collect(worker, body).await {
-        Ok(body) => body,
+    let (body, held) = match collect(worker, body).await {
+        Ok(collected) => collected,
         Err(cause) if reply.is_not_run => {
             log::debug!(id = request.id(); "reading the body of a refusal failed: {cause}");
             return Outcome::NotRun;
@@ -203,7 +208,8 @@
         let work = Work { kind: Kind::Whole, class, tokens, requests: choice.requests };
         routing.record_time(endpoint, work, sent.elapsed());
     }
-    Outcome::Full(FullResponse { status, headers: head.headers, body })
+    let held = Rc::new(held);
+    Outcome::Full(FullResponse { status, headers: head.headers, body, held })
 }
 
 /// Whether a response may be an event stream. A body of another type has no events by whose ends
@@ -222,21 +228,21 @@
 ///
 /// A description of why that failed: the body broke off, it is too long, or the bodies that are
 /// read at the same time take too much memory together.
-async fn collect(worker: &Worker, mut body: Body) -> Result<Bytes, String> {
-    let mut reserved = worker.buffers.reserve();
-    let mut bytes = BytesMut::new();
+async fn collect(worker: &Worker, mut body: Body) -> Result<(Bytes, Held), String> {
+    let held = worker.memory.hold(Purpose::Response);
+    let mut buffer = Buffer::new(held, RESPONSE_MAX_BYTES);
     while let Some(frame) = body.frame().await {
         // Trailers are ignored.
         let Ok(data) = frame.map_err(|error| error.to_string())?.into_data() else { continue };
-        if bytes.len() + data.len() > RESPONSE_MAX_BYTES {
+        if buffer.len() + data.len() > RESPONSE_MAX_BYTES {
             return Err(format!("the body is longer than {RESPONSE_MAX_BYTES} bytes"));
         }
-        if !reserved.grow(data.len()) {
+        if !buffer.extend(&data) {
+            record::full("response");
             return Err("the bodies of all responses take too much memory".to_owned());
         }
-        bytes.extend_from_slice(&data);
     }
-    Ok(bytes.freeze())
+    Ok(buffer.finish())
 }
 
 /// Checks that a response belongs to the request.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,7 +7,6 @@
 
 mod accept;
 mod attempt;
-mod buffers;
 mod connections;
 mod context;
 mod crash_check;
@@ -21,9 +20,11 @@
 mod feed;
 mod forward;
 mod framing;
+mod full;
 mod headers;
 mod history;
 mod in_flight;
+mod memory;
 mod notice;
 mod operator;
 mod origins;
@@ -45,6 +46,7 @@
 mod worker;
 
 pub use context::Context;
+pub use context::Limits;
 pub use evacuations::News;
 pub use feed::follow;
 pub use peer::Member;
--- a/crates/gateway/tests/sessions/main.rs
+++ b/crates/gateway/tests/sessions/main.rs
@@ -6,6 +6,7 @@
 mod evacuations;
 mod failures;
 mod heads;
+mod held;
 mod limits;
 mod loads;
 mod notices;
