--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -193,8 +193,10 @@
     }
     // Refusals of other kinds take less work.
     if is_success {
-        let (class, tokens) =
-            (exchange::fingerprint(&request.rule.name), request.metadata.prompt_tokens);
+        // The way to another data centre is part of the time.
+        let is_far = *endpoint.centre != *worker.context.centre;
+        let class = exchange::fingerprint(&request.rule.name) ^ u32::from(is_far);
+        let tokens = request.metadata.prompt_tokens;
         let work = Work { kind: Kind::Whole, class, tokens, requests: choice.requests };
         routing.record_time(endpoint, work, sent.elapsed());
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,7 +24,6 @@
 mod in_flight;
 mod notice;
 mod origins;
-mod pace;
 mod peer;
 mod quarantine;
 mod record;
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -176,8 +176,8 @@
     log::info!(endpoint = &*endpoint.id, address:% = endpoint.address,
         service = &*endpoint.service, from:% = format_args!("{from:.2}"),
         speed:% = format_args!("{:.2}", judgement.speed),
-        ratio_2s:% = format_args!("{:.2}", judgement.fast),
-        ratio_5s:% = format_args!("{:.2}", judgement.slow),
+        ratio_short:% = format_args!("{:.2}", judgement.fast),
+        ratio_long:% = format_args!("{:.2}", judgement.slow),
         observations:% = format_args!("{:.1}", judgement.weight), reporters,
         age_ms = age.as_millis() as u64; "endpoint speed");
     counter!("lycheeknot_gateway_speed_changes_total", "service" => endpoint.service.to_string())
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -13,6 +13,7 @@
 use link::Body;
 use link::Connection;
 use policy::speed::Kind;
+use policy::speed::Pace;
 use policy::speed::Work;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
@@ -25,7 +26,6 @@
 use crate::forward::Attempts;
 use crate::framing::Framing;
 use crate::in_flight::InFlight;
-use crate::pace::Pace;
 use crate::record;
 use crate::record::StreamEnd;
 use crate::request::Request;
@@ -168,9 +168,12 @@
     fn record_first_event(&mut self) {
         let Some(source) = self.source.as_mut().filter(|source| !source.has_events) else { return };
         source.has_events = true;
+        let context = &self.worker.context;
         let (tokens, requests) = (self.request.metadata.prompt_tokens, source.requests);
-        let work = Work { kind: Kind::FirstEvent, class: 0, tokens, requests };
-        let routing = &self.worker.context.routing;
+        // The way to another data centre is part of the time.
+        let class = u32::from(*source.endpoint.centre != *context.centre);
+        let work = Work { kind: Kind::FirstEvent, class, tokens, requests };
+        let routing = &context.routing;
         routing.record_time(&source.endpoint, work, source.sent.elapsed());
     }
 
@@ -189,7 +192,8 @@
     /// Reads from the endpoint until the deadline; `None` after the end of the stream.
     async fn read(&mut self) -> Option<Read> {
         let source = self.source.as_mut()?;
-        let awaited = Instant::now();
+        let routing = &self.worker.context.routing;
+        let awaited = routing.now();
         let read = match timeout_at(self.request.deadline, source.body.frame()).await {
             Err(_) => Read::TimedOut,
             Ok(None) => Read::End,
@@ -198,9 +202,9 @@
             Ok(Some(Ok(frame))) => Read::Data(frame.into_data().unwrap_or_default()),
         };
         if matches!(read, Read::Data(_))
-            && let Some(pause) = source.pace.record(awaited, Instant::now())
+            && let Some(pause) = source.pace.record(awaited, routing.now())
         {
-            self.worker.context.routing.record_pause(&source.endpoint, pause);
+            routing.record_pause(&source.endpoint, pause);
         }
         Some(read)
     }
--- a/crates/policy/src/speed.rs
+++ b/crates/policy/src/speed.rs
@@ -11,6 +11,7 @@
 mod baseline;
 mod judgement;
 mod measure;
+mod pace;
 mod speeds;
 mod sums;
 mod window;
@@ -18,6 +19,7 @@
 pub use baseline::Kind;
 pub use baseline::Work;
 pub use judgement::Judgement;
+pub use pace::Pace;
 pub use speeds::Change;
 pub use speeds::Speeds;
 pub use sums::Row;
--- a/crates/policy/src/speed/baseline.rs
+++ b/crates/policy/src/speed/baseline.rs
@@ -16,7 +16,8 @@
 pub struct Work {
     /// What was timed.
     pub kind: Kind,
-    /// Hash of what requests have in common, such as the name of their route.
+    /// Hash of what requests have in common, such as the name of their route and whether the endpoint is
+    /// in another data centre.
     pub class: u32,
     /// Length of the prompt in tokens; 0 if it is not known.
     pub tokens: u32,
@@ -29,7 +30,7 @@
 
 /// Times after which a cell is used. Its error is common to the endpoints of which the times are in
 /// the cell, and not to the cells of several gateways.
-const MIN_TIMES: u32 = 4;
+const MIN_TIMES: u32 = 8;
 
 /// Times as which an assumed mean counts in a new cell, so that it isn't that of the first endpoint to
 /// have as many requests, which may be slow.
--- a/crates/gateway/src/pace.rs
+++ b/crates/policy/src/speed/pace.rs
@@ -2,10 +2,8 @@
 
 use std::time::Duration;
 
-use tokio::time::Instant;
-
-/// Time over which pauses are averaged, so that few of the calls that record them need the lock of
-/// the endpoints.
+/// Time over which pauses are averaged, so that a stream adds few observations, and a slow one is
+/// seen before its end.
 const INTERVAL: Duration = Duration::from_millis(400);
 
 /// Pauses that are needed at the end of a stream for a mean.
@@ -13,9 +11,9 @@
 
 /// Averages the pauses of a stream.
 #[derive(Debug, Clone, Copy, Default)]
-pub(crate) struct Pace {
+pub struct Pace {
     /// When the latest piece arrived; `None` if that isn't known.
-    last: Option<Instant>,
+    last: Option<Duration>,
     sum: Duration,
     pauses: u32,
 }
@@ -25,10 +23,10 @@
     /// mean pause once there is one.
     ///
     /// Pieces for which nobody waited, since the client reads slowly, say nothing of the endpoint.
-    pub(crate) fn record(&mut self, awaited: Instant, arrived: Instant) -> Option<Duration> {
+    pub fn record(&mut self, awaited: Duration, arrived: Duration) -> Option<Duration> {
         let last = self.last.replace(arrived)?;
-        let pause = arrived.duration_since(last);
-        if awaited.saturating_duration_since(last) * 2 > pause {
+        let pause = arrived.saturating_sub(last);
+        if awaited.saturating_sub(last) * 2 > pause {
             self.last = None;
             return None;
         }
@@ -38,7 +36,7 @@
     }
 
     /// Returns the mean of the pauses that were not returned yet, at the end of the stream.
-    pub(crate) fn finish(&mut self) -> Option<Duration> {
+    pub fn finish(&mut self) -> Option<Duration> {
         if self.pauses < MIN_PAUSES { None } else { self.take() }
     }
 
