--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,7 +28,6 @@
 mod notice;
 mod operator;
 mod origins;
-mod pace;
 mod peer;
 mod quarantine;
 mod record;
