Hold back requests to cold endpoints within a bound for the whole fleet

Callers saw failures when endpoints came back cold at the peak: they looked idle, so every gateway sent them all it had, and they crashed.

An endpoint announces how long it stays cold, and the configuration how many requests a second it takes then. Each gateway now sends its part of a rate that keeps any second within the bound of the settings, whatever the others do not know. Parts follow the traffic that gateways exchange. Other endpoints get the rest; a request is refused with the time of the next permit if there are none. Without the section slow_start, and for services without a slow start, nothing changes.

Neither is traced.

The test rate_limit_fleet did not compile since the trait Additive was moved; it imports it.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -12,6 +12,7 @@
 use ntex::rt::System;
 use platform::Client;
 use platform::Codec;
+use policy::slow_start::Bounds;
 use settings::Gateway;
 use telemetry::Readiness;
 use telemetry::Reason;
@@ -52,7 +53,8 @@
         TcpListener::bind(settings.clients).map_err(|error| Error::Listen("clients", error))?;
     let source = Source { recorder: recorder.clone(), readiness: readiness.clone() };
     let admin = admin::start(settings.admin, source)?;
-    let routing = Arc::new(Routing::default());
+    let bounds = settings.slow_start.map(|it| Bounds { over: it.over, slack: it.slack });
+    let routing = Arc::new(Routing::default().with_slow_start(bounds));
     ntex::rt::spawn(recorder.upkeep(stop_background.clone()));
     let member = Member {
         vm: settings.vm.clone(),
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -11,6 +11,7 @@
 use policy::outlier::Outliers;
 use policy::popularity::Popularity;
 use policy::rate_limit::Usage;
+use policy::slow_start::Rules;
 use route::Endpoint;
 use route::Reply;
 
@@ -21,6 +22,7 @@
 use crate::history::History;
 use crate::quarantine::start_id;
 use crate::record;
+use crate::refusal::Refusal;
 use crate::removed::Removed;
 use crate::selection::Selection;
 use crate::tracked::Tracked;
@@ -134,7 +136,7 @@
         }
         self.history.advance(restores, !self.is_loaded, now);
         for endpoint in announced {
-            self.put(endpoint);
+            self.put(endpoint, now);
         }
         self.is_loaded = true;
     }
@@ -163,14 +165,16 @@
     }
 
     /// Chooses the endpoint of a request, and counts the request as in flight there. `gateways` is
-    /// the number of registered gateways.
+    /// the number of registered gateways, and `slow_start` has the rules of the service, if it has
+    /// a slow start.
     pub(crate) fn choose(
         &mut self,
         criteria: &Criteria<'_>,
         gateways: u32,
+        slow_start: Option<&Rules>,
         now: Duration,
     ) -> Option<Choice> {
-        self.refill(criteria.service, gateways, now);
+        self.refill(criteria.service, gateways, slow_start, now);
         if let Some(part) = criteria.part {
             self.popularity.record(part.id, now);
         }
@@ -179,10 +183,7 @@
             None => self.selection().best(criteria, now)?,
         };
         let copy_from = self.selection().copy_source(criteria, &endpoint);
-        self.update(&endpoint.id, |tracked| {
-            tracked.occupancy.record_sent();
-            tracked.limiter.record_sent(now);
-        });
+        self.update(&endpoint.id, |tracked| tracked.record_sent(now));
         Some(Choice { endpoint, copy_from })
     }
 
@@ -196,27 +197,31 @@
         self.update(id, |tracked| tracked.occupancy.record_report(requests, now));
     }
 
-    /// Counts a request for a service, and refills the permits for its limited endpoints.
-    fn refill(&mut self, service: &str, gateways: u32, now: Duration) {
+    /// Counts a request for a service, and refills the permits for its limited and cold endpoints.
+    fn refill(&mut self, service: &str, gateways: u32, rules: Option<&Rules>, now: Duration) {
         let wanted = self.demands.record(service, now);
         for tracked in self.endpoints.iter_mut().filter(|it| *it.endpoint.service == *service) {
             tracked.limiter.refill(wanted, gateways, now);
+            if let Some(turn) = tracked.throttle.refill(rules, wanted, gateways, now) {
+                record::cold(&tracked.endpoint, &turn, gateways, now);
+            }
         }
     }
 
-    /// Returns after which time a request with these criteria may be sent, if only the limits of
-    /// endpoints keep it from being sent now, and counts its client among those that come back.
-    pub(crate) fn limited_for(
-        &mut self,
-        criteria: &Criteria<'_>,
-        now: Duration,
-    ) -> Option<Duration> {
+    /// Returns the refusal of a request if only limits of endpoints, or their slow start, keep it from
+    /// being sent now, and counts its client among those that come back.
+    pub(crate) fn limited(&mut self, criteria: &Criteria<'_>, now: Duration) -> Option<Refusal> {
         let limited = self.endpoints.iter().filter(|tracked| tracked.is_available(criteria));
-        let permits: Vec<(Duration, f64)> =
-            limited.map(|tracked| tracked.limiter.next_permit()).collect();
-        let first = permits.iter().map(|(wait, _)| *wait).min()?;
-        let rate = permits.iter().map(|(_, rate)| *rate).sum();
-        Some(self.demands.promise(criteria.service, first, rate, now))
+        let permits: Vec<(Duration, f64, bool)> = limited
+            .map(|tracked| {
+                let (wait, rate) = tracked.next_permit(now);
+                (wait, rate, tracked.throttle.is_held())
+            })
+            .collect();
+        let (first, _, is_cold) = *permits.iter().min_by_key(|(wait, ..)| *wait)?;
+        let rate = permits.iter().map(|(_, rate, _)| *rate).sum();
+        let left = self.demands.promise(criteria.service, first, rate, now);
+        Some(if is_cold { Refusal::Cold(left) } else { Refusal::Limited(left) })
     }
 
     /// Records the limit that an endpoint named, in requests per second.
@@ -231,7 +236,13 @@
     /// Records what a response of an endpoint says of it.
     pub(crate) fn record_notice(&mut self, endpoint: &Endpoint, reply: &Reply, now: Duration) {
         self.update(&endpoint.id, |tracked| {
-            if tracked.endpoint.is_same_start(endpoint) && tracked.notice.record(reply, now) {
+            if !tracked.endpoint.is_same_start(endpoint) {
+                return;
+            }
+            if let Some(left) = reply.cold_left {
+                tracked.throttle.respond(left, now);
+            }
+            if tracked.notice.record(reply, now) {
                 record::notice(endpoint, reply);
             }
         });
@@ -266,18 +277,29 @@
     }
 
     /// Returns what this gateway has observed of endpoints.
-    pub(crate) fn own_observations(&self, _now: Duration) -> Observations {
-        Observations::default()
+    pub(crate) fn own_observations(&self, now: Duration) -> Observations {
+        let mut observations = Observations::default();
+        for tracked in &self.endpoints {
+            let wanted = self.demands.count(&tracked.endpoint.service, now);
+            let row = tracked.throttle.row(wanted, now);
+            row.into_iter().for_each(|row| observations.cold.add(row));
+        }
+        observations
     }
 
     /// Records what the other gateways have observed of endpoints, and the number of these
     /// gateways.
     pub(crate) fn set_other_observations(
         &mut self,
-        _observations: &Observations,
-        _gateways: u32,
-        _now: Duration,
+        observations: &Observations,
+        gateways: u32,
+        now: Duration,
     ) {
+        for tracked in &mut self.endpoints {
+            let wanted = self.demands.count(&tracked.endpoint.service, now);
+            let row = observations.cold.row(start_id(&tracked.endpoint));
+            tracked.throttle.learn(row, gateways, wanted, now);
+        }
     }
 
     /// Returns the requests that this gateway has in flight at endpoints.
@@ -313,16 +335,14 @@
 
     /// Adds or updates an endpoint. If it was restarted, what was observed of the earlier start
     /// is dropped.
-    pub(crate) fn put(&mut self, endpoint: Endpoint) {
+    pub(crate) fn put(&mut self, endpoint: Endpoint, now: Duration) {
         self.removed.forget(&endpoint.id);
         match self.find(&endpoint.id) {
             Ok(index) if self.endpoints[index].endpoint.is_same_start(&endpoint) => {
-                let tracked = &mut self.endpoints[index];
-                tracked.endpoint = Arc::new(endpoint);
-                tracked.missing_until = None;
+                self.endpoints[index].update(endpoint, now);
             }
-            Ok(index) => self.endpoints[index] = Tracked::new(endpoint, self.seed),
-            Err(index) => self.endpoints.insert(index, Tracked::new(endpoint, self.seed)),
+            Ok(index) => self.endpoints[index] = Tracked::new(endpoint, self.seed, now),
+            Err(index) => self.endpoints.insert(index, Tracked::new(endpoint, self.seed, now)),
         }
     }
 
@@ -362,7 +382,7 @@
         let available = self
             .endpoints
             .iter()
-            .filter(|tracked| tracked.is_available(criteria) && tracked.limiter.allows());
+            .filter(|tracked| tracked.is_available(criteria) && tracked.has_permit());
         let mut due = available.filter(|tracked| outliers.try_probe(&tracked.endpoint.id, now));
         due.next().map(|tracked| Arc::clone(&tracked.endpoint))
     }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -201,8 +201,8 @@
     }
     let routing = &worker.context.routing;
     let criteria = criteria(worker, request, attempts);
-    if let Some(left) = routing.limited_for(&criteria) {
-        return Refusal::Limited(left);
+    if let Some(limited) = routing.limited(&criteria) {
+        return limited;
     }
     // Those that were tried may be the ones that want no requests.
     match routing.paused_for(&Criteria { tried: &[], ..criteria }) {
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -2,10 +2,13 @@
 //!
 //! `docs/METRICS.md` lists the metrics.
 
+use std::time::Duration;
+
 use metrics::counter;
 use metrics::gauge;
 use metrics::histogram;
 use policy::quarantine::Block;
+use policy::slow_start::Turn;
 use route::Endpoint;
 use route::Reply;
 use route::Version;
@@ -160,6 +163,20 @@
         .increment(1);
 }
 
+/// Records that an endpoint is held back as it is cold, or no longer is. `gateways` is the number of
+/// registered gateways.
+pub(crate) fn cold(endpoint: &Endpoint, turn: &Turn, gateways: u32, now: Duration) {
+    let Turn { is_held, known, rate, sent } = turn;
+    let (left, age) = (known.until.saturating_sub(now), now.saturating_sub(known.at));
+    log::info!(endpoint = &*endpoint.id, address:% = endpoint.address, is_held, gateways, rate, sent,
+        source:? = known.source, left_ms = left.as_millis() as u64, age_ms = age.as_millis() as u64;
+        "slow start");
+    if *is_held {
+        counter!("lycheeknot_gateway_slow_starts_total", "service" => endpoint.service.to_string())
+            .increment(1);
+    }
+}
+
 /// Records that an endpoint has said that it leaves, or that it wants no requests for a while.
 pub(crate) fn notice(endpoint: &Endpoint, reply: &Reply) {
     log::info!(endpoint = &*endpoint.id, address:% = endpoint.address, leaving = reply.is_leaving,
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -28,6 +28,8 @@
     NotRun,
     /// all endpoints have reached the limits that they named; it did not run, come back later
     Limited(Duration),
+    /// all endpoints are starting and have as much as they bear; it did not run, come back later
+    Cold(Duration),
     /// all endpoints have asked for no requests for a while; it did not run, come back later
     Paused(Duration),
     /// it or a part of its prompt has crashed endpoints; it did not run, send another one
@@ -62,6 +64,7 @@
             Refusal::BadBody => "bad_body",
             Refusal::NotRun => "not_run",
             Refusal::Limited(_) => "limited",
+            Refusal::Cold(_) => "cold",
             Refusal::Paused(_) => "paused",
             Refusal::Quarantined(_) => "quarantined",
             Refusal::UnknownVersion => "unknown_version",
@@ -78,6 +81,7 @@
             | Refusal::Closing
             | Refusal::NotRun
             | Refusal::Limited(_)
+            | Refusal::Cold(_)
             | Refusal::Paused(_)
             | Refusal::Quarantined(_)
             | Refusal::UnknownVersion
@@ -94,7 +98,10 @@
     /// Returns after which time the client may send the request again.
     fn retry_delay(self) -> Duration {
         match self {
-            Refusal::Limited(left) | Refusal::Paused(left) | Refusal::Quarantined(left) => left,
+            Refusal::Limited(left)
+            | Refusal::Cold(left)
+            | Refusal::Paused(left)
+            | Refusal::Quarantined(left) => left,
             Refusal::UnknownVersion | Refusal::NoVersion => VERSION_RETRY_DELAY,
             _ => RETRY_DELAY,
         }
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -18,11 +18,14 @@
 use policy::quarantine::StartId;
 use policy::quarantine::Suspect;
 use policy::rate_limit::Usage;
+use policy::slow_start::Bounds;
+use policy::slow_start::Rules;
 use rand::RngExt;
 use route::Endpoint;
 use route::Reply;
 use route::Table;
 use route::reply::Load;
+use route::service::SlowStart;
 use tokio::time::sleep;
 
 use crate::criteria::Choice;
@@ -30,6 +33,7 @@
 use crate::endpoints::Endpoints;
 use crate::origins::Origins;
 use crate::quarantine::Quarantine;
+use crate::refusal::Refusal;
 
 /// Gateways among which limits of endpoints are divided while their number isn't known: as many as
 /// the largest fleet has that this is designed for.
@@ -46,6 +50,8 @@
     origins: Origins,
     /// Number of registered gateways, including this one; 0 while it is not known.
     gateways: AtomicU32,
+    /// How far the rate of cold endpoints may be exceeded; `None` if they are not held back.
+    cold: Option<Bounds>,
 }
 
 impl Default for Routing {
@@ -57,11 +63,17 @@
             quarantine: Quarantine::default(),
             origins: Origins::default(),
             gateways: AtomicU32::default(),
+            cold: None,
         }
     }
 }
 
 impl Routing {
+    /// Holds back requests to cold endpoints within these bounds; not if there are none.
+    pub fn with_slow_start(self, bounds: Option<Bounds>) -> Routing {
+        Routing { cold: bounds, ..self }
+    }
+
     /// Returns the time since this value was created. All times of endpoints, locations and the
     /// [`crate::Mirror`] are given by this clock.
     pub fn now(&self) -> Duration {
@@ -126,7 +138,7 @@
     pub fn set_endpoint(&self, endpoint: Endpoint) {
         let mut endpoints = self.endpoints.lock();
         self.record_ended(&endpoints, &endpoint);
-        endpoints.put(endpoint);
+        endpoints.put(endpoint, self.now());
         self.origins.changed.notify_one();
     }
 
@@ -177,7 +189,15 @@
             0 => MAX_GATEWAYS,
             registered => registered,
         };
-        self.endpoints.lock().choose(criteria, gateways, self.now())
+        let slow_start = self.slow_start(criteria.service);
+        self.endpoints.lock().choose(criteria, gateways, slow_start.as_ref(), self.now())
+    }
+
+    /// Returns the rules of a service's slow start, if it has one.
+    fn slow_start(&self, service: &str) -> Option<Rules> {
+        let bounds = self.cold?;
+        let SlowStart { per_s, time } = self.table().service(service)?.slow_start?;
+        Some(Rules { per_s, time, bounds })
     }
 
     /// Records the end of a request at an endpoint.
@@ -197,10 +217,10 @@
         self.endpoints.lock().record_max_rate(id, max_rate, self.now());
     }
 
-    /// Returns after which time a request with these criteria may be sent, if only the limits of
-    /// endpoints keep it from being sent now, and counts its client among those that come back.
-    pub(crate) fn limited_for(&self, criteria: &Criteria<'_>) -> Option<Duration> {
-        self.endpoints.lock().limited_for(criteria, self.now())
+    /// Returns the refusal of a request if only limits of endpoints, or their slow start, keep it from
+    /// being sent now, and counts its client among those that come back.
+    pub(crate) fn limited(&self, criteria: &Criteria<'_>) -> Option<Refusal> {
+        self.endpoints.lock().limited(criteria, self.now())
     }
 
     /// Records what a response of an endpoint says of it.
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -31,7 +31,7 @@
         let available: Vec<&Tracked> =
             self.endpoints.iter().filter(|tracked| tracked.is_available(criteria)).collect();
         let mut healthy = self.ejections.without_ejected(criteria.service, available, now);
-        healthy.retain(|tracked| tracked.limiter.allows());
+        healthy.retain(|tracked| tracked.has_permit());
         let is_free =
             |tracked: &&Tracked| criteria.prefers(&tracked.endpoint) && tracked.has_free_slot(now);
         if healthy.iter().any(is_free) {
@@ -44,7 +44,7 @@
                 requests: tracked.occupancy.requests(now),
                 slots: tracked.endpoint.slots,
                 is_far: *tracked.endpoint.centre != *criteria.centre,
-                is_limited: tracked.limiter.max_rate().is_some(),
+                is_limited: tracked.needs_permits(),
             })
             .collect();
         let query = choice::Query {
--- a/crates/gateway/src/tracked.rs
+++ b/crates/gateway/src/tracked.rs
@@ -5,6 +5,8 @@
 
 use policy::occupancy::Occupancy;
 use policy::rate_limit::Limiter;
+use policy::slow_start::Announced;
+use policy::slow_start::Throttle;
 use route::Endpoint;
 use route::endpoint::State;
 
@@ -23,6 +25,8 @@
     pub(crate) is_replaced: bool,
     /// Its limit of the requests of all gateways, if it names one.
     pub(crate) limiter: Limiter,
+    /// What it is sent while it is cold.
+    pub(crate) throttle: Throttle,
     /// State that it has reported in its responses.
     pub(crate) notice: Notice,
 }
@@ -30,9 +34,12 @@
 impl Tracked {
     /// Creates the state of an endpoint of which nothing was observed. The seed has to be another one
     /// in each process.
-    pub(crate) fn new(endpoint: Endpoint, seed: u64) -> Tracked {
+    pub(crate) fn new(endpoint: Endpoint, seed: u64, now: Duration) -> Tracked {
+        let mut throttle = Throttle::new(start_id(&endpoint), seed);
+        throttle.announce(announced(&endpoint), now);
         Tracked {
             limiter: Limiter::new(start_id(&endpoint), seed),
+            throttle,
             endpoint: Arc::new(endpoint),
             occupancy: Occupancy::default(),
             missing_until: None,
@@ -41,6 +48,42 @@
         }
     }
 
+    /// Records another announcement of the same start.
+    pub(crate) fn update(&mut self, endpoint: Endpoint, now: Duration) {
+        self.throttle.announce(announced(&endpoint), now);
+        self.endpoint = Arc::new(endpoint);
+        self.missing_until = None;
+    }
+
+    /// Whether its limit and, if it is cold, its slow start let a request be sent to it now.
+    pub(crate) fn has_permit(&self) -> bool {
+        self.limiter.allows() && self.throttle.allows()
+    }
+
+    /// Whether requests need permits to be sent to it.
+    pub(crate) fn needs_permits(&self) -> bool {
+        self.limiter.max_rate().is_some() || self.throttle.is_held()
+    }
+
+    /// Returns the time until there is a permit for it, and the permits per second.
+    pub(crate) fn next_permit(&self, now: Duration) -> (Duration, f64) {
+        match self.throttle.next_permit(now) {
+            Some((wait, rate)) if self.limiter.max_rate().is_some() => {
+                let (limited, max_rate) = self.limiter.next_permit();
+                (wait.max(limited), rate.min(max_rate))
+            }
+            Some(cold) => cold,
+            None => self.limiter.next_permit(),
+        }
+    }
+
+    /// Counts a request that is sent to it.
+    pub(crate) fn record_sent(&mut self, now: Duration) {
+        self.occupancy.record_sent();
+        self.limiter.record_sent(now);
+        self.throttle.record_sent(now);
+    }
+
     /// Records that its announcement is missing, and that it is removed at a time unless it is sooner.
     pub(crate) fn set_missing(&mut self, until: Duration) {
         self.missing_until = Some(self.missing_until.map_or(until, |known| known.min(until)));
@@ -69,3 +112,9 @@
             && !criteria.tried.contains(&endpoint.id)
     }
 }
+
+/// Returns what an announcement says of a cold time. Announcements of one start only can be ordered.
+fn announced(endpoint: &Endpoint) -> Announced {
+    let sequence = endpoint.started_ms.and(endpoint.sequence);
+    Announced { left: endpoint.cold_left, sequence }
+}
--- a/crates/gateway/tests/sessions/limits.rs
+++ b/crates/gateway/tests/sessions/limits.rs
@@ -34,7 +34,7 @@
 
 /// Sends requests one after the other for a time; returns when those were sent that an endpoint
 /// answered, and how long refusals took.
-fn press(address: SocketAddr, duration: Duration) -> (Vec<Instant>, Vec<Duration>) {
+pub fn press(address: SocketAddr, duration: Duration) -> (Vec<Instant>, Vec<Duration>) {
     let start = Instant::now();
     let (mut answered, mut refusals) = (Vec::new(), Vec::new());
     while start.elapsed() < duration {
--- a/crates/gateway/tests/sessions/main.rs
+++ b/crates/gateway/tests/sessions/main.rs
@@ -8,6 +8,7 @@
 mod loads;
 mod notices;
 mod requests;
+mod slow_starts;
 mod stops;
 #[path = "../support/store.rs"]
 mod store;
--- a/crates/gateway/tests/sessions/support/fixture.rs
+++ b/crates/gateway/tests/sessions/support/fixture.rs
@@ -10,6 +10,7 @@
 use gateway::Context;
 use gateway::Routing;
 use platform::Codec;
+use policy::slow_start::Bounds;
 use route::Dialect;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -32,7 +33,7 @@
      "resumable": true},
     {"name": "once", "hostname": "h.example", "prefix": "/once/", "type": "stream",
      "service": "model", "attempts": 1, "timeout_ms": 8000, "goal_ms": 400, "priority": 1}],
-  "services": [{"name": "plain"}, {"name": "model", "engine": {"slots": 64}}],
+  "services": [{"name": "plain", "cold_s": 1.0, "cold_per_s": 4}, {"name": "model", "engine": {"slots": 64}}],
   "limits": {"max_body_bytes": 1000, "idle_timeout_ms": 2000},
   "tenants": [{"name": "club", "api_keys": ["k1"], "priority": 3}]}"#;
 
@@ -52,6 +53,22 @@
         fixture
     }
 
+    /// Starts a gateway that holds back requests to cold endpoints.
+    pub fn with_slow_start(service: &str, endpoints: &[&Endpoint]) -> Fixture {
+        let bounds = Bounds { over: 1.5, slack: 5.0 };
+        let fixture = Fixture::start(Routing::default().with_slow_start(Some(bounds)));
+        fixture.configure(service, endpoints);
+        fixture
+    }
+
+    /// Announces for how many milliseconds an endpoint is cold, in an announcement with this number.
+    pub fn announce_cold(&self, service: &str, endpoint: &Endpoint, left_ms: u64, number: u64) {
+        let mut announced = decode(service, endpoint, "ready", "v1", 5);
+        announced.cold_left = Duration::from_millis(left_ms);
+        announced.sequence = Some(number);
+        self.routing.set_endpoint(announced);
+    }
+
     /// Gives the gateway the configuration and these endpoints of a service.
     pub fn configure(&self, service: &str, endpoints: &[&Endpoint]) {
         let table = Codec.table(CONFIGURATION.as_bytes()).expect("a configuration");
@@ -83,9 +100,13 @@
 
     /// Starts a gateway without a configuration and endpoints.
     pub fn unconfigured() -> Fixture {
+        Fixture::start(Routing::default())
+    }
+
+    fn start(routing: Routing) -> Fixture {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
-        let routing = Arc::new(Routing::default());
+        let routing = Arc::new(routing);
         routing.set_gateways(1);
         let stop = CancellationToken::new();
         let context = Context {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -29,3 +29,4 @@
 pub mod revision;
 pub mod roster;
 pub mod sequence;
+pub mod slow_start;
--- a/crates/policy/tests/rate_limit_fleet/fleet.rs
+++ b/crates/policy/tests/rate_limit_fleet/fleet.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use policy::exchange::Additive;
 use policy::rate_limit::Ledger;
 use policy::rate_limit::Limiter;
 use policy::rate_limit::Report;
--- a/crates/route/src/endpoint.rs
+++ b/crates/route/src/endpoint.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// An endpoint as announced in the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -26,6 +27,8 @@
     pub started_ms: Option<u64>,
     /// Number that grows with the endpoint's announcements since its start, if they have one.
     pub sequence: Option<u64>,
+    /// How much longer it takes only few requests, as of the announcement; zero if it is not cold.
+    pub cold_left: Duration,
 }
 
 /// Whether an endpoint accepts new requests.
--- a/crates/route/src/reply.rs
+++ b/crates/route/src/reply.rs
@@ -20,6 +20,8 @@
     pub is_leaving: bool,
     /// For how long the endpoint wants no requests from this gateway, if it says so.
     pub pause: Option<Duration>,
+    /// How much longer the endpoint takes only few requests, if it says so; zero if it is not cold.
+    pub cold_left: Option<Duration>,
 }
 
 /// An endpoint's load at the time of a response.
--- a/crates/route/src/service.rs
+++ b/crates/route/src/service.rs
@@ -1,9 +1,11 @@
 //! Services.
 
+use std::time::Duration;
+
 use crate::ServiceName;
 
 /// A service that endpoints offer.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Service {
     /// Its name.
     pub name: ServiceName,
@@ -11,6 +13,17 @@
     pub connections: u32,
     /// Capacity of its model engines; `None` for plain services.
     pub engine: Option<Engine>,
+    /// What its endpoints take while they are cold; `None` if they have no slow start.
+    pub slow_start: Option<SlowStart>,
+}
+
+/// The slow start of the endpoints of a service.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct SlowStart {
+    /// Requests per second that a cold endpoint takes from all gateways together.
+    pub per_s: f64,
+    /// How long an endpoint is cold after its start.
+    pub time: Duration,
 }
 
 /// Capacity of the model engines of a service.
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -9,7 +9,7 @@
 use crate::Version;
 
 /// A routing table: a version of the configuration, indexed for look-ups.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Table {
     version: Version,
     /// Sorted by host and prefix.
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -38,12 +38,23 @@
     /// Least number of processes that the retries are divided by; more if more are
     /// registered.
     pub processes: u32,
+    /// How far the rate of cold endpoints may be exceeded; `None` if they are not held back.
+    pub slow_start: Option<SlowStart>,
     /// Time for which the process stays reachable after a request to stop.
     pub stop_notice: Duration,
     /// Time for which requests in flight may continue after that.
     pub stop_grace: Duration,
 }
 
+/// How far the requests of all gateways may exceed the rate of a cold endpoint in any one second.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SlowStart {
+    /// Multiple of the rate.
+    pub over: f64,
+    /// Requests on top of that.
+    pub slack: f64,
+}
+
 /// File descriptors per client connection: each may need another to an endpoint.
 const DESCRIPTORS_PER_CLIENT: u64 = 2;
 
@@ -85,6 +96,7 @@
         let ratio = retry.decimal("ratio", 0.0, 10.0, faults);
         let slack = retry.decimal("slack", 0.0, 1e6, faults);
         let processes = retry.required_number("processes", 1, 100_000, faults);
+        let slow_start = slow_start(&root.child("slow_start", faults), faults);
         Some(Gateway {
             vm: vm?,
             centre: centre?,
@@ -100,12 +112,24 @@
             retry_ratio: ratio?,
             retry_slack: slack?,
             processes: u32::try_from(processes?).ok()?,
+            slow_start,
             stop_notice: Duration::from_millis(notice?),
             stop_grace: Duration::from_millis(grace?),
         })
     }
 }
 
+/// Reads the bounds of a slow start, which are missing where endpoints have none.
+fn slow_start(section: &Section<'_>, faults: &mut Vec<Fault>) -> Option<SlowStart> {
+    if !section.is_present() {
+        return None;
+    }
+    section.check_keys(&[key::GATEWAY_SLOW_START], faults);
+    let over = section.decimal("over", 0.0, 1_000.0, faults);
+    let slack = section.decimal("slack", 0.0, 1e6, faults);
+    Some(SlowStart { over: over?, slack: slack? })
+}
+
 /// Reads the list of seeds, leaving out those that have a fault.
 fn seeds(peer: &Section<'_>, faults: &mut Vec<Fault>) -> Vec<SocketAddr> {
     let texts = peer.strings("seeds", "a list of addresses in quotes", faults);
--- a/crates/settings/src/key.rs
+++ b/crates/settings/src/key.rs
@@ -35,7 +35,8 @@
 pub const GATEWAY_ROOT: &[&str] = &["role", "vm", "centre"];
 
 /// Names of a gateway's sections.
-pub const GATEWAY_SECTIONS: &[&str] = &["listen", "peer", "platform", "limit", "retry"];
+pub const GATEWAY_SECTIONS: &[&str] =
+    &["listen", "peer", "platform", "limit", "retry", "slow_start"];
 
 /// Keys of a gateway's `[listen]`.
 pub const GATEWAY_LISTEN: &[&str] = &["clients", "admin", "control"];
@@ -52,6 +53,9 @@
 /// Keys of a gateway's `[retry]`.
 pub const GATEWAY_RETRY: &[&str] = &["ratio", "slack", "processes"];
 
+/// Keys of a gateway's `[slow_start]`.
+pub const GATEWAY_SLOW_START: &[&str] = &["over", "slack"];
+
 /// Returns the full names of all keys of an entry or agent, such as `listen.data`,
 /// in the order of the lists.
 pub fn all() -> Vec<String> {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -25,6 +25,7 @@
 pub use crate::error::Error;
 pub use crate::file::File;
 pub use crate::gateway::Gateway;
+pub use crate::gateway::SlowStart;
 pub use crate::kind::Kind;
 pub use crate::limit::Limit;
 pub use crate::listen::Listen;
--- a/crates/settings/tests/gateway.rs
+++ b/crates/settings/tests/gateway.rs
@@ -58,6 +58,7 @@
                 retry_ratio: 0.2,
                 retry_slack: 58.0,
                 processes: 8,
+                slow_start: None,
                 stop_notice: 2.6s,
                 stop_grace: 5s,
             }
@@ -87,6 +88,20 @@
     );
 }
 
+#[test]
+fn a_slow_start_is_read_where_it_is_named() {
+    let read = |section: &str| match File::parse(&format!("{VALID}[slow_start]\n{section}")) {
+        Ok(File::Gateway(gateway)) => format!("{:?}", gateway.slow_start),
+        Ok(File::Fleet(_)) => "the settings of another role".to_owned(),
+        Err(error) => error.to_string(),
+    };
+    expect!["Some(SlowStart { over: 1.5, slack: 5.0 })"].assert_eq(&read("over = 1.5\nslack = 5"));
+    expect![[r#"
+        the settings have faults; mend these lines:
+          line 22, `slow_start.over`: has the wrong type; write a number, as in 0.2"#]]
+    .assert_eq(&read("over = -1\nslack = 5"));
+}
+
 #[test]
 fn a_file_with_invalid_toml_is_refused() {
     check(
@@ -122,6 +137,7 @@
         key::GATEWAY_PLATFORM,
         key::GATEWAY_LIMIT,
         key::GATEWAY_RETRY,
+        key::GATEWAY_SLOW_START,
     ];
     for name in sections.concat() {
         assert!(section.contains(&format!("\n{name} = ")), "{name}");
