--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -13,6 +13,7 @@
 use ntex::rt::System;
 use platform::Client;
 use platform::Codec;
+use policy::slow_start::Bounds;
 use settings::Gateway;
 use telemetry::Readiness;
 use telemetry::Reason;
@@ -105,7 +106,9 @@
 
 /// Returns the routing with the parts that are switched on.
 fn routing(settings: &Gateway) -> Routing {
-    let mut routing = Routing::default().with_learn_speed(settings.learn_speed);
+    let bounds = settings.slow_start.map(|it| Bounds { over: it.over, slack: it.slack });
+    let mut routing =
+        Routing::default().with_slow_start(bounds).with_learn_speed(settings.learn_speed);
     if settings.spread_stale_loads {
         routing = routing.with_spread_stale_loads();
     }
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -13,6 +13,7 @@
 use policy::popularity::Popularity;
 use policy::rate_limit::SPAN;
 use policy::rate_limit::Usage;
+use policy::slow_start::Rules;
 use route::Endpoint;
 use route::Reply;
 
@@ -26,6 +27,7 @@
 use crate::history::History;
 use crate::quarantine::start_id;
 use crate::record;
+use crate::refusal::Refusal;
 use crate::removed::Removed;
 use crate::selection::Selection;
 use crate::speeds::Speeds;
@@ -155,7 +157,7 @@
         }
         self.history.advance(restores, !self.is_loaded, now);
         for endpoint in announced {
-            self.put(endpoint);
+            self.put(endpoint, now);
         }
         self.is_loaded = true;
     }
@@ -184,14 +186,16 @@
     }
 
     /// Chooses the endpoint of a request, and counts the request as in flight there. `gateways` is
-    /// the number of registered gateways.
+    /// the number of registered gateways, and `slow_start` has the rules of the service, if it has
+    /// a slow start.
     pub(crate) fn choose(
         &mut self,
         criteria: &Criteria<'_>,
         gateways: u32,
+        slow_start: Option<&Rules>,
         now: Duration,
     ) -> Option<Choice> {
-        self.refill(criteria.service, gateways, now);
+        self.refill(criteria.service, gateways, slow_start, now);
         self.speeds.judge(criteria.service, &self.endpoints, now);
         if let Some(part) = criteria.part {
             self.popularity.record(part.id, now);
@@ -204,8 +208,7 @@
         let mut requests = 0;
         self.update(&endpoint.id, |tracked| {
             requests = tracked.occupancy.requests(now) as u32;
-            tracked.occupancy.record_sent();
-            tracked.limiter.record_sent(now);
+            tracked.record_sent(now);
         });
         Some(Choice { endpoint, copy_from, requests })
     }
@@ -250,27 +253,31 @@
         index.map_or(0, |index| self.endpoints[index].occupancy.requests(now) as u32)
     }
 
-    /// Counts a request for a service, and refills the permits for its limited endpoints.
-    fn refill(&mut self, service: &str, gateways: u32, now: Duration) {
+    /// Counts a request for a service, and refills the permits for its limited and cold endpoints.
+    fn refill(&mut self, service: &str, gateways: u32, rules: Option<&Rules>, now: Duration) {
         let wanted = self.demands.record(service, now);
         for tracked in self.endpoints.iter_mut().filter(|it| *it.endpoint.service == *service) {
             tracked.limiter.refill(wanted, gateways, now);
+            if let Some(turn) = tracked.throttle.refill(rules, wanted, gateways, now) {
+                record::cold(&tracked.endpoint, &turn, gateways, now);
+            }
         }
     }
 
-    /// Returns after which time a request with these criteria may be sent, if only the limits of
-    /// endpoints keep it from being sent now, and counts its client among those that come back.
-    pub(crate) fn limited_for(
-        &mut self,
-        criteria: &Criteria<'_>,
-        now: Duration,
-    ) -> Option<Duration> {
+    /// Returns the refusal of a request if only limits of endpoints, or their slow start, keep it from
+    /// being sent now, and counts its client among those that come back.
+    pub(crate) fn limited(&mut self, criteria: &Criteria<'_>, now: Duration) -> Option<Refusal> {
         let limited = self.endpoints.iter().filter(|tracked| tracked.is_available(criteria));
-        let permits: Vec<(Duration, f64)> =
-            limited.map(|tracked| tracked.limiter.next_permit()).collect();
-        let first = permits.iter().map(|(wait, _)| *wait).min()?;
-        let rate = permits.iter().map(|(_, rate)| *rate).sum();
-        Some(self.demands.promise(criteria.service, first, rate, now))
+        let permits: Vec<(Duration, f64, bool)> = limited
+            .map(|tracked| {
+                let (wait, rate) = tracked.next_permit(now);
+                (wait, rate, tracked.throttle.is_held())
+            })
+            .collect();
+        let (first, _, is_cold) = *permits.iter().min_by_key(|(wait, ..)| *wait)?;
+        let rate = permits.iter().map(|(_, rate, _)| *rate).sum();
+        let left = self.demands.promise(criteria.service, first, rate, now);
+        Some(if is_cold { Refusal::Cold(left) } else { Refusal::Limited(left) })
     }
 
     /// Records the limit that an endpoint named, in requests per second.
@@ -285,7 +292,13 @@
     /// Records what a response of an endpoint says of it.
     pub(crate) fn record_notice(&mut self, endpoint: &Endpoint, reply: &Reply, now: Duration) {
         self.update(&endpoint.id, |tracked| {
-            if tracked.endpoint.is_same_start(endpoint) && tracked.notice.record(reply, now) {
+            if !tracked.endpoint.is_same_start(endpoint) {
+                return;
+            }
+            if let Some(left) = reply.cold_left {
+                tracked.throttle.respond(left, now);
+            }
+            if tracked.notice.record(reply, now) {
                 record::notice(endpoint, reply);
             }
         });
@@ -322,7 +335,14 @@
     /// Returns what this gateway has observed of endpoints.
     pub(crate) fn own_observations(&self, now: Duration) -> Observations {
         let failures = self.failures.sheet(&self.endpoints, now);
-        Observations { failures, speed: self.speeds.sums(now), ..Observations::default() }
+        let speed = self.speeds.sums(now);
+        let mut observations = Observations { failures, speed, ..Observations::default() };
+        for tracked in &self.endpoints {
+            let wanted = self.demands.count(&tracked.endpoint.service, now);
+            let row = tracked.throttle.row(wanted, now);
+            row.into_iter().for_each(|row| observations.cold.add(row));
+        }
+        observations
     }
 
     /// Records what the other gateways have observed of endpoints, and the number of these
@@ -335,6 +355,11 @@
     ) {
         self.failures.learn(&mut self.endpoints, &observations.failures, now);
         self.speeds.learn(&observations.speed, gateways, &self.endpoints, now);
+        for tracked in &mut self.endpoints {
+            let wanted = self.demands.count(&tracked.endpoint.service, now);
+            let row = observations.cold.row(start_id(&tracked.endpoint));
+            tracked.throttle.learn(row, gateways, wanted, now);
+        }
     }
 
     /// Returns the requests that this gateway has in flight at endpoints.
@@ -370,18 +395,16 @@
 
     /// Adds or updates an endpoint. If it was restarted, what was observed of the earlier start
     /// is dropped.
-    pub(crate) fn put(&mut self, endpoint: Endpoint) {
+    pub(crate) fn put(&mut self, endpoint: Endpoint, now: Duration) {
         self.removed.forget(&endpoint.id);
         let is_evacuated = self.evacuations.contains(&endpoint.centre);
         let index = self.find(&endpoint.id);
         match index {
             Ok(index) if self.endpoints[index].endpoint.is_same_start(&endpoint) => {
-                let tracked = &mut self.endpoints[index];
-                tracked.endpoint = Arc::new(endpoint);
-                tracked.missing_until = None;
+                self.endpoints[index].update(endpoint, now);
             }
-            Ok(index) => self.endpoints[index] = Tracked::new(endpoint, self.seed),
-            Err(index) => self.endpoints.insert(index, Tracked::new(endpoint, self.seed)),
+            Ok(index) => self.endpoints[index] = Tracked::new(endpoint, self.seed, now),
+            Err(index) => self.endpoints.insert(index, Tracked::new(endpoint, self.seed, now)),
         }
         let (Ok(index) | Err(index)) = index;
         self.endpoints[index].is_evacuated = is_evacuated;
@@ -452,7 +475,7 @@
         let available = self
             .endpoints
             .iter()
-            .filter(|tracked| tracked.is_available(criteria) && tracked.limiter.allows());
+            .filter(|tracked| tracked.is_available(criteria) && tracked.has_permit());
         let mut due = available.filter(|tracked| outliers.try_probe(&tracked.endpoint.id, now));
         due.next().map(|tracked| Arc::clone(&tracked.endpoint))
     }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -32,6 +32,8 @@
     NotRun,
     /// all endpoints have reached the limits that they named; it did not run, come back later
     Limited(Duration),
+    /// all endpoints are starting and have as much as they bear; it did not run, come back later
+    Cold(Duration),
     /// all endpoints have asked for no requests for a while; it did not run, come back later
     Paused(Duration),
     /// all endpoints are in data centres that are evacuated; it did not run, come back later
@@ -76,6 +78,7 @@
             Refusal::Slow => "slow",
             Refusal::NotRun => "not_run",
             Refusal::Limited(_) => "limited",
+            Refusal::Cold(_) => "cold",
             Refusal::Paused(_) => "paused",
             Refusal::Evacuated => "evacuated",
             Refusal::Quarantined(_) => "quarantined",
@@ -94,6 +97,7 @@
             | Refusal::Memory
             | Refusal::NotRun
             | Refusal::Limited(_)
+            | Refusal::Cold(_)
             | Refusal::Paused(_)
             | Refusal::Evacuated
             | Refusal::Quarantined(_)
@@ -112,7 +116,10 @@
     /// Returns after which time the client may send the request again.
     fn retry_delay(self) -> Duration {
         match self {
-            Refusal::Limited(left) | Refusal::Paused(left) | Refusal::Quarantined(left) => left,
+            Refusal::Limited(left)
+            | Refusal::Cold(left)
+            | Refusal::Paused(left)
+            | Refusal::Quarantined(left) => left,
             Refusal::UnknownVersion | Refusal::NoVersion => VERSION_RETRY_DELAY,
             Refusal::Evacuated => EVACUATION_RETRY_DELAY,
             Refusal::Memory => MEMORY_RETRY_DELAY,
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -18,6 +18,8 @@
 use policy::quarantine::StartId;
 use policy::quarantine::Suspect;
 use policy::rate_limit::Usage;
+use policy::slow_start::Bounds;
+use policy::slow_start::Rules;
 use policy::speed::Kind;
 use policy::speed::Work;
 use rand::RngExt;
@@ -25,6 +27,7 @@
 use route::Reply;
 use route::Table;
 use route::reply::Load;
+use route::service::SlowStart;
 use services::version::Version;
 use tokio::time::sleep;
 
@@ -36,6 +39,7 @@
 use crate::failures::End;
 use crate::origins::Origins;
 use crate::quarantine::Quarantine;
+use crate::refusal::Refusal;
 use crate::speeds::Speeds;
 
 /// Gateways among which limits of endpoints are divided while their number isn't known: as many as
@@ -55,6 +59,8 @@
     origins: Origins,
     /// Number of registered gateways, including this one; 0 while it is not known.
     gateways: AtomicU32,
+    /// How far the rate of cold endpoints may be exceeded; `None` if they are not held back.
+    cold: Option<Bounds>,
 }
 
 impl Default for Routing {
@@ -67,6 +73,7 @@
             quarantine: Quarantine::default(),
             origins: Origins::default(),
             gateways: AtomicU32::default(),
+            cold: None,
         }
     }
 }
@@ -95,6 +102,11 @@
         self
     }
 
+    /// Holds back requests to cold endpoints within these bounds; not if there are none.
+    pub fn with_slow_start(self, bounds: Option<Bounds>) -> Routing {
+        Routing { cold: bounds, ..self }
+    }
+
     /// Returns the time since this value was created. All times of endpoints, locations and the
     /// [`crate::Mirror`] are given by this clock.
     pub fn now(&self) -> Duration {
@@ -159,7 +171,7 @@
     pub fn set_endpoint(&self, endpoint: Endpoint) {
         let mut endpoints = self.endpoints.lock();
         self.record_ended(&endpoints, &endpoint);
-        endpoints.put(endpoint);
+        endpoints.put(endpoint, self.now());
         self.origins.changed.notify_one();
     }
 
@@ -241,7 +253,15 @@
             0 => MAX_GATEWAYS,
             registered => registered,
         };
-        self.endpoints.lock().choose(criteria, gateways, self.now())
+        let slow_start = self.slow_start(criteria.service);
+        self.endpoints.lock().choose(criteria, gateways, slow_start.as_ref(), self.now())
+    }
+
+    /// Returns the rules of a service's slow start, if it has one.
+    fn slow_start(&self, service: &str) -> Option<Rules> {
+        let bounds = self.cold?;
+        let SlowStart { per_s, time } = self.table().service(service)?.slow_start?;
+        Some(Rules { per_s, time, bounds })
     }
 
     /// Records the end of a request at an endpoint.
@@ -261,10 +281,10 @@
         self.endpoints.lock().record_max_rate(id, max_rate, self.now());
     }
 
-    /// Returns after which time a request with these criteria may be sent, if only the limits of
-    /// endpoints keep it from being sent now, and counts its client among those that come back.
-    pub(crate) fn limited_for(&self, criteria: &Criteria<'_>) -> Option<Duration> {
-        self.endpoints.lock().limited_for(criteria, self.now())
+    /// Returns the refusal of a request if only limits of endpoints, or their slow start, keep it from
+    /// being sent now, and counts its client among those that come back.
+    pub(crate) fn limited(&self, criteria: &Criteria<'_>) -> Option<Refusal> {
+        self.endpoints.lock().limited(criteria, self.now())
     }
 
     /// Records what a response of an endpoint says of it.
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -49,7 +49,7 @@
                 slots: tracked.endpoint.slots,
                 speed: self.speeds.speed(&tracked.endpoint),
                 is_far: *tracked.endpoint.centre != *criteria.centre,
-                is_limited: tracked.limiter.max_rate().is_some(),
+                is_limited: tracked.needs_permits(),
             })
             .collect();
         let query = choice::Query {
@@ -81,7 +81,7 @@
         let available: Vec<&Tracked> =
             self.endpoints.iter().filter(|tracked| tracked.is_available(criteria)).collect();
         let mut healthy = self.ejections.without_ejected(criteria.service, available, now);
-        healthy.retain(|tracked| tracked.limiter.allows());
+        healthy.retain(|tracked| tracked.has_permit());
         healthy
     }
 
--- a/crates/gateway/tests/sessions/support/fixture.rs
+++ b/crates/gateway/tests/sessions/support/fixture.rs
@@ -13,6 +13,7 @@
 use gateway::Routing;
 use platform::Codec;
 use policy::memory;
+use policy::slow_start::Bounds;
 use route::Dialect;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -35,7 +36,7 @@
      "resumable": true},
     {"name": "once", "hostname": "h.example", "prefix": "/once/", "type": "stream",
      "service": "model", "attempts": 1, "timeout_ms": 8000, "goal_ms": 400, "priority": 1}],
-  "services": [{"name": "plain"}, {"name": "model", "engine": {"slots": 64}}],
+  "services": [{"name": "plain", "cold_s": 1.0, "cold_per_s": 4}, {"name": "model", "engine": {"slots": 64}}],
   "limits": {"max_body_bytes": 1000, "idle_timeout_ms": 2000},
   "tenants": [{"name": "club", "api_keys": ["k1"], "priority": 3}]}"#;
 
@@ -61,6 +62,22 @@
         fixture
     }
 
+    /// Starts a gateway that holds back requests to cold endpoints.
+    pub fn with_slow_start(service: &str, endpoints: &[&Endpoint]) -> Fixture {
+        let bounds = Bounds { over: 1.5, slack: 5.0 };
+        let fixture = Fixture::unconfigured_with(Routing::default().with_slow_start(Some(bounds)));
+        fixture.configure(service, endpoints);
+        fixture
+    }
+
+    /// Announces for how many milliseconds an endpoint is cold, in an announcement with this number.
+    pub fn announce_cold(&self, service: &str, endpoint: &Endpoint, left_ms: u64, number: u64) {
+        let mut announced = decode(service, endpoint, "ready", "v1", 5);
+        announced.cold_left = Duration::from_millis(left_ms);
+        announced.sequence = Some(number);
+        self.routing.set_endpoint(announced);
+    }
+
     /// Gives the gateway the configuration and these endpoints of a service.
     pub fn configure(&self, service: &str, endpoints: &[&Endpoint]) {
         let table = Codec.table(CONFIGURATION.as_bytes()).expect("a configuration");
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -32,5 +32,6 @@
 pub mod revision;
 pub mod roster;
 pub mod sequence;
+pub mod slow_start;
 pub mod speed;
 pub mod spread;
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -53,12 +53,23 @@
     pub share_failures: bool,
     /// Whether endpoints are chosen by how fast they work.
     pub learn_speed: bool,
+    /// How far the rate of cold endpoints may be exceeded; `None` if they are not held back.
+    pub slow_start: Option<SlowStart>,
     /// Time for which the process stays reachable after a request to stop.
     pub stop_notice: Duration,
     /// Time for which requests in flight may continue after that.
     pub stop_grace: Duration,
 }
 
+/// How far the requests of all gateways may exceed the rate of a cold endpoint in any one second.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SlowStart {
+    /// Multiple of the rate.
+    pub over: f64,
+    /// Requests on top of that.
+    pub slack: f64,
+}
+
 /// File descriptors per client connection: each may need another to an endpoint.
 const DESCRIPTORS_PER_CLIENT: u64 = 2;
 
@@ -122,6 +133,7 @@
         let spread_stale_loads = endpoints.flag_or("spread_stale_loads", false, faults);
         let share_failures = endpoints.flag_or("share_failures", false, faults);
         let learn_speed = endpoints.flag_or("learn_speed", false, faults);
+        let slow_start = slow_start(&root.child("slow_start", faults), faults);
         Some(Gateway {
             vm: vm?,
             centre: centre?,
@@ -146,12 +158,24 @@
             spread_stale_loads: spread_stale_loads?,
             share_failures: share_failures?,
             learn_speed: learn_speed?,
+            slow_start,
             stop_notice: Duration::from_millis(notice?),
             stop_grace: Duration::from_millis(grace?),
         })
     }
 }
 
+/// Reads the bounds of a slow start, which are missing where endpoints have none.
+fn slow_start(section: &Section<'_>, faults: &mut Vec<Fault>) -> Option<SlowStart> {
+    if !section.is_present() {
+        return None;
+    }
+    section.check_keys(&[key::GATEWAY_SLOW_START], faults);
+    let over = section.decimal("over", 0.0, 1_000.0, faults);
+    let slack = section.decimal("slack", 0.0, 1e6, faults);
+    Some(SlowStart { over: over?, slack: slack? })
+}
+
 /// Reads the list of seeds, leaving out those that have a fault.
 fn seeds(peer: &Section<'_>, faults: &mut Vec<Fault>) -> Vec<SocketAddr> {
     let texts = peer.strings("seeds", "a list of addresses in quotes", faults);
--- a/crates/settings/src/key.rs
+++ b/crates/settings/src/key.rs
@@ -36,7 +36,7 @@
 
 /// Names of a gateway's sections.
 pub const GATEWAY_SECTIONS: &[&str] =
-    &["listen", "peer", "platform", "limit", "retry", "endpoints"];
+    &["listen", "peer", "platform", "limit", "retry", "endpoints", "slow_start"];
 
 /// Keys of a gateway's `[listen]`.
 pub const GATEWAY_LISTEN: &[&str] = &["clients", "admin", "control"];
@@ -65,6 +65,9 @@
 /// Keys of a gateway's `[endpoints]`.
 pub const GATEWAY_ENDPOINTS: &[&str] = &["spread_stale_loads", "share_failures", "learn_speed"];
 
+/// Keys of a gateway's `[slow_start]`.
+pub const GATEWAY_SLOW_START: &[&str] = &["over", "slack"];
+
 /// Returns the full names of all keys of an entry or agent, such as `listen.data`,
 /// in the order of the lists.
 pub fn all() -> Vec<String> {
