Resume the test's stream against the preference for the own data centre

The test passed also with evacuated endpoints as candidates, since the endpoint elsewhere was the nearer one. Now it is the farther one.

--- a/crates/gateway/tests/sessions/evacuations.rs
+++ b/crates/gateway/tests/sessions/evacuations.rs
@@ -159,22 +159,22 @@
 #[test]
 fn a_stream_that_breaks_off_in_an_evacuated_data_centre_is_resumed_there() {
     let broken = vec![stream_start(), event(1), Step::Pause(300), Step::Close];
-    let far = Endpoint::start("e1", vec![broken]);
+    // Endpoints of the gateway's own data centre are preferred unless it is evacuated.
+    let first = Endpoint::start("e1", vec![broken]);
     let other = Endpoint::start("e2", vec![slow_stream(2)]);
     let rest = vec![stream_start(), event(2), stream_end()];
-    let near = Endpoint::start("e3", vec![rest]);
-    let fixture = Fixture::new("model", &[]);
-    fixture.announce_in("model", &far, "b");
+    let far = Endpoint::start("e3", vec![rest]);
+    let fixture = Fixture::new("model", &[&first]);
     let mut client = Client::connect(fixture.address);
     client.send(&request("tell"));
-    wait_until(|| !far.seen().is_empty());
-    fixture.announce_in("model", &other, "b");
-    fixture.announce("model", &near, "v1");
-    fixture.evacuate("b");
+    wait_until(|| !first.seen().is_empty());
+    fixture.announce("model", &other, "v1");
+    fixture.announce_in("model", &far, "b");
+    fixture.evacuate("a");
     let response = client.read();
     assert!(response.contains("data: e2\n") && response.ends_with("\n0\n\n"), "{response}");
-    assert_eq!((near.seen().len(), other.seen().len()), (1, 0));
-    assert_eq!(header(&near.seen()[0], "last-event-id").as_deref(), Some("1"));
+    assert_eq!((far.seen().len(), other.seen().len()), (1, 0));
+    assert_eq!(header(&far.seen()[0], "last-event-id").as_deref(), Some("1"));
 }
 
 #[test]
