Split the directory of endpoints from their choice, and name a gateway's options

The announcements and evacuations move to Directory, callers of the quarantine call it directly, and the switches of optional decisions are one value, Options.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -8,6 +8,7 @@
 use gateway::Context;
 use gateway::Limits;
 use gateway::Member;
+use gateway::Options;
 use gateway::Peers;
 use gateway::Routing;
 use ntex::rt::System;
@@ -55,7 +56,7 @@
         TcpListener::bind(settings.clients).map_err(|error| Error::Listen("clients", error))?;
     let source = Source { recorder: recorder.clone(), readiness: readiness.clone() };
     let admin = admin::start(settings.admin, source)?;
-    let routing = Arc::new(routing(&settings));
+    let routing = Arc::new(Routing::new(options(&settings)));
     ntex::rt::spawn(recorder.upkeep(stop_background.clone()));
     let member = Member {
         vm: settings.vm.clone(),
@@ -104,18 +105,14 @@
     readiness.block(Reason::Stopping);
 }
 
-/// Returns the routing with the parts that are switched on.
-fn routing(settings: &Gateway) -> Routing {
-    let bounds = settings.slow_start.map(|it| Bounds { over: it.over, slack: it.slack });
-    let mut routing =
-        Routing::default().with_slow_start(bounds).with_learn_speed(settings.learn_speed);
-    if settings.spread_stale_loads {
-        routing = routing.with_spread_stale_loads();
+/// Returns the optional decisions that the settings switch on.
+fn options(settings: &Gateway) -> Options {
+    Options {
+        slow_start: settings.slow_start.map(|it| Bounds { over: it.over, slack: it.slack }),
+        spreads_stale_loads: settings.spread_stale_loads,
+        shares_failures: settings.share_failures,
+        learns_speed: settings.learn_speed,
     }
-    if settings.share_failures {
-        routing = routing.with_shared_failures();
-    }
-    routing
 }
 
 fn limits(settings: &Gateway) -> Limits {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -199,7 +199,7 @@
         routing.record_failure(endpoint);
     } else {
         routing.record_success(endpoint, sent.elapsed());
-        routing.record_sound(&request.suspect);
+        routing.quarantine().record_success(&request.suspect, routing.now());
     }
     // Refusals of other kinds take less work.
     if is_success {
--- a/crates/gateway/src/crash_check.rs
+++ b/crates/gateway/src/crash_check.rs
@@ -30,7 +30,8 @@
     is_repeated: bool,
 ) {
     let suspect = request.suspect.clone().repeated(is_repeated);
-    if worker.context.routing.record_broken(endpoint, suspect, begun) {
+    let routing = &worker.context.routing;
+    if routing.quarantine().record_broken(endpoint, suspect, begun, routing.now()) {
         ntex::rt::spawn(check(Rc::clone(worker), Arc::clone(endpoint)));
     }
 }
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -20,27 +20,16 @@
 use crate::criteria::Choice;
 use crate::criteria::Criteria;
 use crate::demands::Demands;
+use crate::directory::Directory;
 use crate::ejections::Ejections;
-use crate::evacuations::Evacuations;
 use crate::failures::End;
 use crate::failures::Failures;
-use crate::history::History;
+use crate::options::Options;
 use crate::quarantine::start_id;
 use crate::record;
 use crate::refusal::Refusal;
-use crate::removed::Removed;
 use crate::selection::Selection;
 use crate::speeds::Speeds;
-use crate::tracked::Tracked;
-
-/// How long an endpoint is kept whose announcement is missing after an outage of the store.
-/// Running endpoints announce themselves again within two seconds.
-const REANNOUNCE_TIMEOUT: Duration = Duration::from_millis(2_200);
-
-/// How long an endpoint is kept whose removal the store reports shortly after an outage. Together with
-/// the pause between reads of changes it is below the two seconds in which an endpoint that is
-/// leaving may get requests.
-const REMOVAL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Mean age of the loads of other gateways when they are used: each report waits for up to an interval
 /// of 250 ms at its gateway, at the relay and at the gateway that learns of it.
@@ -49,140 +38,32 @@
 /// The known endpoints, their occupancy and outlier ejection.
 #[derive(Debug)]
 pub(crate) struct Endpoints {
-    /// Random bits of this process, which spread its requests at limited endpoints in time.
-    seed: u64,
-    /// Whether all announcements have been read once.
-    is_loaded: bool,
-    /// The history of the store from which the endpoints were last read.
-    history: History,
-    /// Until this time an announcement may be missing only because of an outage of the store.
-    grace_until: Duration,
-    /// Endpoints that were removed lately, which a restored store may still have.
-    removed: Removed,
-    /// Sorted by id.
-    endpoints: Vec<Tracked>,
+    /// The announced endpoints.
+    pub(crate) directory: Directory,
     ejections: Ejections,
-    /// What is in force is changed by [`Endpoints::evacuate`] only.
-    pub(crate) evacuations: Evacuations,
     /// How often parts of prompts were seen lately.
     popularity: Popularity,
     /// Requests for each service lately.
     demands: Demands,
     /// Whether requests are spread by what other gateways are expected to have sent.
-    pub(crate) spreads_stale_loads: bool,
-    pub(crate) failures: Failures,
+    spreads_stale_loads: bool,
+    failures: Failures,
     /// How fast endpoints work.
     pub(crate) speeds: Speeds,
 }
 
 impl Endpoints {
     /// Creates a value without endpoints. The seed is another one in each process.
-    pub(crate) fn new(seed: u64) -> Endpoints {
+    pub(crate) fn new(seed: u64, options: Options) -> Endpoints {
         Endpoints {
-            seed,
-            is_loaded: false,
-            history: History::default(),
-            grace_until: Duration::ZERO,
-            removed: Removed::default(),
-            endpoints: Vec::new(),
+            directory: Directory::new(seed),
             ejections: Ejections::default(),
-            evacuations: Evacuations::new(REANNOUNCE_TIMEOUT),
             popularity: Popularity::default(),
             demands: Demands::default(),
-            spreads_stale_loads: false,
-            failures: Failures::default(),
-            speeds: Speeds::default(),
-        }
-    }
-
-    /// Whether all announcements have been read once.
-    pub(crate) fn is_loaded(&self) -> bool {
-        self.is_loaded
-    }
-
-    /// Returns the history of the store from which the endpoints were last read.
-    pub(crate) fn history(&self) -> History {
-        self.history
-    }
-
-    /// Returns all endpoints, sorted by id.
-    pub(crate) fn endpoints(&self) -> Vec<Arc<Endpoint>> {
-        self.endpoints.iter().map(|tracked| Arc::clone(&tracked.endpoint)).collect()
-    }
-
-    /// Returns the announced endpoints without announcements that are older than what is known, as
-    /// they may be in a listing of a store that has come back from a copy.
-    ///
-    /// Endpoints that run announce themselves again, which then counts.
-    pub(crate) fn without_outdated(
-        &self,
-        announced: Vec<Endpoint>,
-        restores: u64,
-        now: Duration,
-    ) -> Vec<Endpoint> {
-        if !self.is_restored(restores) {
-            return announced;
-        }
-        let current = |endpoint: Endpoint| match self.find(&endpoint.id) {
-            Ok(index) => Some(self.endpoints[index].endpoint.newer_of(endpoint)),
-            Err(_) => (!self.removed.contains(&endpoint, now)).then_some(endpoint),
-        };
-        announced.into_iter().filter_map(current).collect()
-    }
-
-    /// Whether the store has come back from a copy since the endpoints were last read.
-    fn is_restored(&self, restores: u64) -> bool {
-        self.is_loaded && restores > self.history.restores
-    }
-
-    /// Replaces the endpoints by the announced ones. After an outage or a restore of the store,
-    /// endpoints without an announcement are kept until they had time to announce themselves again.
-    pub(crate) fn set_all(
-        &mut self,
-        announced: Vec<Endpoint>,
-        restores: u64,
-        after_outage: bool,
-        now: Duration,
-    ) {
-        let is_announced =
-            |tracked: &Tracked| announced.iter().any(|other| other.id == tracked.endpoint.id);
-        if after_outage || self.is_restored(restores) {
-            self.grace_until = now + REANNOUNCE_TIMEOUT;
-            for tracked in self.endpoints.iter_mut().filter(|tracked| !is_announced(tracked)) {
-                tracked.missing_until.get_or_insert(now + REANNOUNCE_TIMEOUT);
-            }
-        } else {
-            let gone = self.endpoints.extract_if(.., |tracked| !is_announced(tracked));
-            gone.for_each(|tracked| self.removed.add(tracked.endpoint, now));
-        }
-        self.history.advance(restores, !self.is_loaded, now);
-        for endpoint in announced {
-            self.put(endpoint, now);
-        }
-        self.is_loaded = true;
-    }
-
-    /// Removes an endpoint at once.
-    pub(crate) fn remove_now(&mut self, id: &str, now: Duration) {
-        let gone = self.endpoints.extract_if(.., |tracked| *tracked.endpoint.id == *id);
-        gone.for_each(|tracked| self.removed.add(tracked.endpoint, now));
-    }
-
-    /// Removes an endpoint whose announcement was removed. Shortly after an outage of the store
-    /// the endpoint is kept for a while, in which it may announce itself again.
-    pub(crate) fn remove(&mut self, id: &str, now: Duration) {
-        if now >= self.grace_until {
-            return self.remove_now(id, now);
+            spreads_stale_loads: options.spreads_stale_loads,
+            failures: Failures::new(options.shares_failures),
+            speeds: Speeds::new(options.learns_speed),
         }
-        let until = self.grace_until.min(now + REMOVAL_TIMEOUT);
-        self.update(id, |tracked| tracked.set_missing(until));
-    }
-
-    /// Removes endpoints that did not announce themselves again in time.
-    pub(crate) fn remove_missing(&mut self, now: Duration) {
-        let is_gone = |tracked: &mut Tracked| tracked.missing_until.is_some_and(|it| now >= it);
-        let gone = self.endpoints.extract_if(.., is_gone);
-        gone.for_each(|tracked| self.removed.add(tracked.endpoint, now));
     }
 
     /// Chooses the endpoint of a request, and counts the request as in flight there. `gateways` is
@@ -196,7 +77,7 @@
         now: Duration,
     ) -> Option<Choice> {
         self.refill(criteria.service, gateways, slow_start, now);
-        self.speeds.judge(criteria.service, &self.endpoints, now);
+        self.speeds.judge(criteria.service, &self.directory.endpoints, now);
         if let Some(part) = criteria.part {
             self.popularity.record(part.id, now);
         }
@@ -206,7 +87,7 @@
         };
         let copy_from = self.selection(0.0).copy_source(criteria, &endpoint);
         let mut requests = 0;
-        self.update(&endpoint.id, |tracked| {
+        self.directory.update(&endpoint.id, |tracked| {
             requests = tracked.occupancy.requests(now) as u32;
             tracked.record_sent(now);
         });
@@ -220,43 +101,46 @@
         gateways: u32,
         now: Duration,
     ) -> Option<Arc<Endpoint>> {
-        let trials = Trials { gateways, seed: self.seed ^ criteria.seed };
-        self.failures.judge(&mut self.endpoints, criteria.service, trials, now);
+        let trials = Trials { gateways, seed: self.directory.seed ^ criteria.seed };
+        self.failures.judge(&mut self.directory.endpoints, criteria.service, trials, now);
         let unseen = self.unseen(criteria.service, gateways, now);
         let selection = self.selection(unseen);
         let Some(failing) = selection.trial(criteria, now) else {
             return selection.best(criteria, now);
         };
-        self.update(&failing.id, |tracked| tracked.tally.record_trial(trials.interval(), now));
+        self.directory
+            .update(&failing.id, |tracked| tracked.tally.record_trial(trials.interval(), now));
         record::trial(&failing.service);
         Some(failing)
     }
 
     /// Counts how a request ended at an endpoint.
     pub(crate) fn record_end(&mut self, endpoint: &Endpoint, end: End, now: Duration) {
-        self.update(&endpoint.id, |tracked| tracked.record_end(endpoint, end, now));
+        self.directory.update(&endpoint.id, |tracked| tracked.record_end(endpoint, end, now));
     }
 
     /// Records the end of a request at an endpoint.
     pub(crate) fn request_ended(&mut self, id: &str) {
-        self.update(id, |tracked| tracked.occupancy.record_ended());
+        self.directory.update(id, |tracked| tracked.occupancy.record_ended());
     }
 
     /// Records the number of requests from all callers that an endpoint reported.
     pub(crate) fn record_load(&mut self, id: &str, requests: u32, now: Duration) {
-        self.update(id, |tracked| tracked.occupancy.record_report(requests, now));
+        self.directory.update(id, |tracked| tracked.occupancy.record_report(requests, now));
     }
 
     /// Returns the estimated requests of all gateways at an endpoint.
     pub(crate) fn requests(&self, id: &str, now: Duration) -> u32 {
-        let index = self.find(id).ok();
-        index.map_or(0, |index| self.endpoints[index].occupancy.requests(now) as u32)
+        let index = self.directory.find(id).ok();
+        index.map_or(0, |index| self.directory.endpoints[index].occupancy.requests(now) as u32)
     }
 
     /// Counts a request for a service, and refills the permits for its limited and cold endpoints.
     fn refill(&mut self, service: &str, gateways: u32, rules: Option<&Rules>, now: Duration) {
         let wanted = self.demands.record(service, now);
-        for tracked in self.endpoints.iter_mut().filter(|it| *it.endpoint.service == *service) {
+        for tracked in
+            self.directory.endpoints.iter_mut().filter(|it| *it.endpoint.service == *service)
+        {
             tracked.limiter.refill(wanted, gateways, now);
             if let Some(turn) = tracked.throttle.refill(rules, wanted, gateways, now) {
                 record::cold(&tracked.endpoint, &turn, gateways, now);
@@ -267,7 +151,8 @@
     /// Returns the refusal of a request if only limits of endpoints, or their slow start, keep it from
     /// being sent now, and counts its client among those that come back.
     pub(crate) fn limited(&mut self, criteria: &Criteria<'_>, now: Duration) -> Option<Refusal> {
-        let limited = self.endpoints.iter().filter(|tracked| tracked.is_available(criteria));
+        let limited =
+            self.directory.endpoints.iter().filter(|tracked| tracked.is_available(criteria));
         let permits: Vec<(Duration, f64, bool)> = limited
             .map(|tracked| {
                 let (wait, rate) = tracked.next_permit(now);
@@ -282,7 +167,7 @@
 
     /// Records the limit that an endpoint named, in requests per second.
     pub(crate) fn record_max_rate(&mut self, id: &str, max_rate: Option<f64>, now: Duration) {
-        self.update(id, |tracked| {
+        self.directory.update(id, |tracked| {
             if tracked.limiter.set_max_rate(max_rate, now) {
                 record::limit(&tracked.endpoint, max_rate, "response");
             }
@@ -291,7 +176,7 @@
 
     /// Records what a response of an endpoint says of it.
     pub(crate) fn record_notice(&mut self, endpoint: &Endpoint, reply: &Reply, now: Duration) {
-        self.update(&endpoint.id, |tracked| {
+        self.directory.update(&endpoint.id, |tracked| {
             if !tracked.endpoint.is_same_start(endpoint) {
                 return;
             }
@@ -307,14 +192,15 @@
     /// Returns after which time a request with these criteria may be sent, if all endpoints want no
     /// requests until then.
     pub(crate) fn paused_for(&self, criteria: &Criteria<'_>) -> Option<Duration> {
-        let suitable = self.endpoints.iter().filter(|tracked| tracked.is_suitable(criteria));
+        let suitable =
+            self.directory.endpoints.iter().filter(|tracked| tracked.is_suitable(criteria));
         suitable.map(|it| it.notice.pause(criteria.now)).min().filter(|left| !left.is_zero())
     }
 
     /// Returns what this gateway tells others of its requests at limited endpoints.
     pub(crate) fn own_usage(&self, now: Duration) -> Usage {
         let mut usage = Usage::default();
-        for tracked in &self.endpoints {
+        for tracked in &self.directory.endpoints {
             let wanted = self.demands.count(&tracked.endpoint.service, now);
             tracked.limiter.row(wanted, now).into_iter().for_each(|row| usage.add(row));
         }
@@ -324,7 +210,7 @@
     /// Records the requests of other gateways at limited endpoints, and the number of these
     /// gateways.
     pub(crate) fn set_other_usage(&mut self, usage: &Usage, gateways: u32, now: Duration) {
-        for tracked in &mut self.endpoints {
+        for tracked in &mut self.directory.endpoints {
             let row = usage.row(start_id(&tracked.endpoint));
             if tracked.limiter.learn(row, gateways, now) {
                 record::limit(&tracked.endpoint, tracked.limiter.max_rate(), "gateway");
@@ -334,10 +220,10 @@
 
     /// Returns what this gateway has observed of endpoints.
     pub(crate) fn own_observations(&self, now: Duration) -> Observations {
-        let failures = self.failures.sheet(&self.endpoints, now);
+        let failures = self.failures.sheet(&self.directory.endpoints, now);
         let speed = self.speeds.sums(now);
         let mut observations = Observations { failures, speed, ..Observations::default() };
-        for tracked in &self.endpoints {
+        for tracked in &self.directory.endpoints {
             let wanted = self.demands.count(&tracked.endpoint.service, now);
             let row = tracked.throttle.row(wanted, now);
             row.into_iter().for_each(|row| observations.cold.add(row));
@@ -353,9 +239,9 @@
         gateways: u32,
         now: Duration,
     ) {
-        self.failures.learn(&mut self.endpoints, &observations.failures, now);
-        self.speeds.learn(&observations.speed, gateways, &self.endpoints, now);
-        for tracked in &mut self.endpoints {
+        self.failures.learn(&mut self.directory.endpoints, &observations.failures, now);
+        self.speeds.learn(&observations.speed, gateways, &self.directory.endpoints, now);
+        for tracked in &mut self.directory.endpoints {
             let wanted = self.demands.count(&tracked.endpoint.service, now);
             let row = observations.cold.row(start_id(&tracked.endpoint));
             tracked.throttle.learn(row, gateways, wanted, now);
@@ -365,7 +251,7 @@
     /// Returns the requests that this gateway has in flight at endpoints.
     pub(crate) fn own_loads(&self) -> Sheet {
         let mut sheet = Sheet::default();
-        for tracked in &self.endpoints {
+        for tracked in &self.directory.endpoints {
             sheet.add(exchange::fingerprint(&tracked.endpoint.id), tracked.occupancy.own());
         }
         sheet
@@ -373,72 +259,12 @@
 
     /// Records the requests that other gateways have at endpoints.
     pub(crate) fn set_other_loads(&mut self, loads: &Sheet, now: Duration) {
-        for tracked in &mut self.endpoints {
+        for tracked in &mut self.directory.endpoints {
             let others = loads.requests(exchange::fingerprint(&tracked.endpoint.id));
             tracked.occupancy.record_others(others, now);
         }
     }
 
-    /// Marks an endpoint as replaced by another one at its address; it gets no more requests.
-    pub(crate) fn set_replaced(&mut self, id: &str) {
-        self.update(id, |tracked| tracked.is_replaced = true);
-    }
-
-    /// Returns the known endpoints at the address of an announced one that are another start.
-    pub(crate) fn ended_before(&self, announced: &Endpoint) -> Vec<Arc<Endpoint>> {
-        let known = self.endpoints.iter().map(|tracked| &tracked.endpoint);
-        let ended = known.filter(|endpoint| {
-            endpoint.address == announced.address && !endpoint.is_same_start(announced)
-        });
-        ended.cloned().collect()
-    }
-
-    /// Adds or updates an endpoint. If it was restarted, what was observed of the earlier start
-    /// is dropped.
-    pub(crate) fn put(&mut self, endpoint: Endpoint, now: Duration) {
-        self.removed.forget(&endpoint.id);
-        let is_evacuated = self.evacuations.contains(&endpoint.centre);
-        let index = self.find(&endpoint.id);
-        match index {
-            Ok(index) if self.endpoints[index].endpoint.is_same_start(&endpoint) => {
-                self.endpoints[index].update(endpoint, now);
-            }
-            Ok(index) => self.endpoints[index] = Tracked::new(endpoint, self.seed, now),
-            Err(index) => self.endpoints.insert(index, Tracked::new(endpoint, self.seed, now)),
-        }
-        let (Ok(index) | Err(index)) = index;
-        self.endpoints[index].is_evacuated = is_evacuated;
-    }
-
-    /// Changes which data centres are evacuated.
-    pub(crate) fn evacuate(&mut self, change: impl FnOnce(&mut Evacuations), now: Duration) {
-        change(&mut self.evacuations);
-        for tracked in &mut self.endpoints {
-            tracked.is_evacuated = self.evacuations.contains(&tracked.endpoint.centre);
-        }
-        if self.is_loaded {
-            self.evacuations.report(&self.endpoints, now);
-        }
-    }
-
-    /// Whether evacuations alone keep all requests with these criteria from being sent.
-    pub(crate) fn is_evacuated(&self, criteria: &Criteria<'_>) -> bool {
-        let mut usable = self.endpoints.iter().filter(|it| it.is_usable(criteria)).peekable();
-        usable.peek().is_some() && usable.all(|tracked| tracked.is_evacuated)
-    }
-
-    /// Applies a change to an endpoint if it is known.
-    fn update(&mut self, id: &str, change: impl FnOnce(&mut Tracked)) {
-        if let Ok(index) = self.find(id) {
-            change(&mut self.endpoints[index]);
-        }
-    }
-
-    /// Returns the index of an endpoint, or the index to insert it at.
-    fn find(&self, id: &str) -> Result<usize, usize> {
-        self.endpoints.binary_search_by(|tracked| (*tracked.endpoint.id).cmp(id))
-    }
-
     /// Returns the outlier ejection of a service.
     pub(crate) fn outliers(&mut self, service: &Arc<str>) -> &mut Outliers {
         self.ejections.entry(service)
@@ -447,7 +273,7 @@
     /// Returns what an endpoint is selected from.
     fn selection(&self, unseen: f64) -> Selection<'_> {
         Selection {
-            endpoints: &self.endpoints,
+            endpoints: &self.directory.endpoints,
             ejections: &self.ejections,
             popularity: &self.popularity,
             unseen,
@@ -473,6 +299,7 @@
         }
         let outliers = self.ejections.find_mut(criteria.service)?;
         let available = self
+            .directory
             .endpoints
             .iter()
             .filter(|tracked| tracked.is_available(criteria) && tracked.has_permit());
--- a/crates/gateway/src/failures.rs
+++ b/crates/gateway/src/failures.rs
@@ -28,15 +28,20 @@
 }
 
 /// Whether failures are shared and used, and when endpoints were compared by them.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Failures {
     /// Whether failures are shared with other gateways and used to choose endpoints.
-    pub(crate) is_shared: bool,
+    is_shared: bool,
     /// The services whose endpoints were compared, with the time of that, sorted by service.
     judged: Vec<(Arc<str>, Duration)>,
 }
 
 impl Failures {
+    /// Creates a value that has compared no endpoints.
+    pub(crate) fn new(is_shared: bool) -> Failures {
+        Failures { is_shared, judged: Vec::new() }
+    }
+
     /// Updates which endpoints of a service are failing, unless that was done a moment ago.
     pub(crate) fn judge(
         &mut self,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -166,7 +166,8 @@
 
 /// Returns how long requests like this one are refused, as they crash endpoints.
 fn blocked_for(worker: &Worker, request: &Request) -> Option<Duration> {
-    worker.context.routing.blocked_for(&request.suspect)
+    let routing = &worker.context.routing;
+    routing.quarantine().blocked_for(&request.suspect, routing.now())
 }
 
 /// Chooses the endpoint of the next attempt, and counts the request as in flight there.
--- a/crates/gateway/src/peer/loads.rs
+++ b/crates/gateway/src/peer/loads.rs
@@ -86,7 +86,8 @@
     async fn report(&self, hub: &Member) -> Result<Message<Loads, Usage>, Error> {
         let message = self.next_message(false);
         let answer = self.connections.client(hub).await?.report(&message, ANSWER_TIMEOUT).await?;
-        self.peers.routing().learn_crashes(&answer.crashes);
+        let routing = self.peers.routing();
+        routing.quarantine().learn(&answer.crashes, routing.now());
         self.learn_streams(&answer.streams);
         Ok(answer)
     }
@@ -100,7 +101,7 @@
             async { self.connections.client(hub).await?.swap(&message, ANSWER_TIMEOUT).await };
         match swapped.await {
             Ok(answer) => {
-                routing.learn_crashes(&answer.crashes);
+                routing.quarantine().learn(&answer.crashes, routing.now());
                 self.learn_streams(&answer.streams);
                 let (now, vm) = (routing.now(), answer.loads.vm.clone());
                 let mut exchange = self.peers.exchange();
@@ -119,7 +120,8 @@
         // Taken first, so that the locks of the routing aren't taken under that of the exchange.
         let (own, own_usage) = (routing.own_loads(), routing.own_usage());
         let own_observations = routing.own_observations();
-        let (crashes, now) = (routing.crashes(is_new), routing.now());
+        let now = routing.now();
+        let crashes = routing.quarantine().digest(is_new, now);
         let streams = routing.origins().recent_since(Duration::ZERO, now);
         let mut exchange = self.peers.exchange();
         let usage = exchange.usage_report(own_usage, now);
--- a/crates/gateway/src/peer/peers.rs
+++ b/crates/gateway/src/peer/peers.rs
@@ -305,11 +305,11 @@
     }
 
     fn learn_crashes(&self, crashes: &Digest) {
-        self.routing.learn_crashes(crashes);
+        self.routing.quarantine().learn(crashes, self.routing.now());
     }
 
     fn crashes(&self, is_new: bool) -> Digest {
-        self.routing.crashes(is_new)
+        self.routing.quarantine().digest(is_new, self.routing.now())
     }
 
     fn learn_streams(&self, streams: &Segment) {
--- a/crates/gateway/src/peer/stored.rs
+++ b/crates/gateway/src/peer/stored.rs
@@ -60,7 +60,7 @@
         let crash = |(start, age)| (start, age, vec![suspect.clone()]);
         let crashes = starts.zip(ages).map(crash).collect();
         let crashes = Digest { crashes, successes: Vec::new() };
-        routing.learn_crashes(&crashes);
+        routing.quarantine().learn(&crashes, routing.now());
     }
 }
 
@@ -76,7 +76,7 @@
             continue;
         }
         let current: Vec<(String, Stored)> =
-            peers.routing().quarantined().into_iter().map(keyed).collect();
+            peers.routing().quarantine().evidence().into_iter().map(keyed).collect();
         if restores.has_restored() {
             // The copy may lack what was written, and still have what was removed.
             written.append(&mut removed);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -190,7 +190,8 @@
             }
             self.worker.pool.put(source.connection);
         }
-        self.worker.context.routing.record_sound(&self.request.suspect);
+        let routing = &self.worker.context.routing;
+        routing.quarantine().record_success(&self.request.suspect, routing.now());
         self.log("ended");
     }
 
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -14,11 +14,7 @@
 use policy::exchange::Sheet;
 use policy::observation::Observations;
 use policy::origin::StreamId;
-use policy::quarantine::Digest;
-use policy::quarantine::StartId;
-use policy::quarantine::Suspect;
 use policy::rate_limit::Usage;
-use policy::slow_start::Bounds;
 use policy::slow_start::Rules;
 use policy::speed::Kind;
 use policy::speed::Work;
@@ -37,10 +33,10 @@
 use crate::evacuations::Evacuations;
 use crate::evacuations::News;
 use crate::failures::End;
+use crate::options::Options;
 use crate::origins::Origins;
 use crate::quarantine::Quarantine;
 use crate::refusal::Refusal;
-use crate::speeds::Speeds;
 
 /// Gateways among which limits of endpoints are divided while their number isn't known: as many as
 /// the largest fleet has that this is designed for.
@@ -51,61 +47,34 @@
 #[derive(Debug)]
 pub struct Routing {
     start: Instant,
+    options: Options,
     table: RwLock<Arc<Table>>,
     endpoints: Mutex<Endpoints>,
-    /// Whether the times of endpoints are recorded.
-    learns_speed: bool,
     quarantine: Quarantine,
     origins: Origins,
     /// Number of registered gateways, including this one; 0 while it is not known.
     gateways: AtomicU32,
-    /// How far the rate of cold endpoints may be exceeded; `None` if they are not held back.
-    cold: Option<Bounds>,
 }
 
 impl Default for Routing {
     fn default() -> Routing {
+        Routing::new(Options::default())
+    }
+}
+
+impl Routing {
+    /// Creates a value without a configuration and endpoints.
+    pub fn new(options: Options) -> Routing {
         Routing {
             start: Instant::now(),
+            options,
             table: RwLock::default(),
-            endpoints: Mutex::new(Endpoints::new(rand::rng().random())),
-            learns_speed: false,
+            endpoints: Mutex::new(Endpoints::new(rand::rng().random(), options)),
             quarantine: Quarantine::default(),
             origins: Origins::default(),
             gateways: AtomicU32::default(),
-            cold: None,
         }
     }
-}
-
-impl Routing {
-    /// Returns the value with requests spread by what other gateways are expected to have sent since
-    /// their loads were known.
-    #[must_use]
-    pub fn with_spread_stale_loads(self) -> Routing {
-        self.endpoints.lock().spreads_stale_loads = true;
-        self
-    }
-
-    /// Returns the value with failures of endpoints counted, shared with the other gateways, and
-    /// used for the choice of endpoints.
-    #[must_use]
-    pub fn with_shared_failures(self) -> Routing {
-        self.endpoints.lock().failures.is_shared = true;
-        self
-    }
-
-    /// Sets whether this gateway learns how fast endpoints work, and chooses them by it.
-    pub fn with_learn_speed(mut self, learns_speed: bool) -> Routing {
-        self.learns_speed = learns_speed;
-        self.endpoints.get_mut().speeds = Speeds::new(learns_speed);
-        self
-    }
-
-    /// Holds back requests to cold endpoints within these bounds; not if there are none.
-    pub fn with_slow_start(self, bounds: Option<Bounds>) -> Routing {
-        Routing { cold: bounds, ..self }
-    }
 
     /// Returns the time since this value was created. All times of endpoints, locations and the
     /// [`crate::Mirror`] are given by this clock.
@@ -120,7 +89,7 @@
 
     /// Whether both the configuration and the endpoints are known.
     pub fn is_complete(&self) -> bool {
-        self.table().version() > 0 && self.endpoints.lock().is_loaded()
+        self.table().version() > 0 && self.endpoints.lock().directory.is_loaded()
     }
 
     /// Returns the number of registered gateways, including this one; 0 while it is not known.
@@ -156,25 +125,30 @@
     /// had time to announce themselves again.
     pub fn set_endpoints(&self, endpoints: Vec<Endpoint>, restores: u64, after_outage: bool) {
         let mut known = self.endpoints.lock();
-        let endpoints = known.without_outdated(endpoints, restores, self.now());
+        let endpoints = known.directory.without_outdated(endpoints, restores, self.now());
         endpoints.iter().for_each(|endpoint| self.record_ended(&known, endpoint));
-        known.set_all(endpoints, restores, after_outage, self.now());
+        known.directory.set_all(endpoints, restores, after_outage, self.now());
         self.origins.changed.notify_one();
     }
 
     /// Returns all known endpoints, sorted by id.
     pub fn endpoints(&self) -> Vec<Arc<Endpoint>> {
-        self.endpoints.lock().endpoints()
+        self.endpoints.lock().directory.endpoints()
     }
 
     /// Adds or updates an announced endpoint.
     pub fn set_endpoint(&self, endpoint: Endpoint) {
         let mut endpoints = self.endpoints.lock();
         self.record_ended(&endpoints, &endpoint);
-        endpoints.put(endpoint, self.now());
+        endpoints.directory.put(endpoint, self.now());
         self.origins.changed.notify_one();
     }
 
+    /// Returns the requests that have crashed endpoints.
+    pub(crate) fn quarantine(&self) -> &Quarantine {
+        &self.quarantine
+    }
+
     /// Returns which versions began streams.
     pub(crate) fn origins(&self) -> &Origins {
         &self.origins
@@ -188,62 +162,62 @@
         stream: Option<StreamId>,
         deadline: tokio::time::Instant,
     ) -> Option<Arc<str>> {
-        let history = || (self.endpoints.lock().history(), self.now());
+        let history = || (self.endpoints.lock().directory.history(), self.now());
         self.origins.find(service, stream, deadline, history).await
     }
 
     /// Records that the endpoints that were known at the address of an announced one have ended.
     fn record_ended(&self, known: &Endpoints, announced: &Endpoint) {
-        for ended in known.ended_before(announced) {
+        for ended in known.directory.ended_before(announced) {
             self.record_crash(&ended);
         }
     }
 
     /// Removes an endpoint at once.
     pub fn remove_endpoint_now(&self, id: &str) {
-        self.endpoints.lock().remove_now(id, self.now());
+        self.endpoints.lock().directory.remove_now(id, self.now());
     }
 
     /// Removes an endpoint whose announcement was removed. Shortly after an outage of the store
     /// the endpoint is kept until it had time to announce itself again.
     pub fn remove_endpoint(&self, id: &str) {
-        self.endpoints.lock().remove(id, self.now());
+        self.endpoints.lock().directory.remove(id, self.now());
     }
 
     /// Removes endpoints that did not announce themselves again in time.
     pub fn remove_missing(&self) {
-        self.endpoints.lock().remove_missing(self.now());
+        self.endpoints.lock().directory.remove_missing(self.now());
     }
 
     /// Applies news of evacuations that the store gave some time ago, at a version of it.
     pub fn update_evacuations(&self, news: News, version: Version, age: Duration) {
         let now = self.now();
         let apply = |it: &mut Evacuations| it.apply(news, version, age, now);
-        self.endpoints.lock().evacuate(apply, now);
+        self.endpoints.lock().directory.evacuate(apply, now);
     }
 
     /// Records that the store can't be read: until it can be again, no evacuation ends.
     pub(crate) fn suspend_evacuations(&self) {
-        self.endpoints.lock().evacuations.suspend();
+        self.endpoints.lock().directory.evacuations.suspend();
     }
 
     /// Ends evacuations whose grace time is over, and records the progress of the others.
     pub(crate) fn settle_evacuations(&self) {
         let now = self.now();
         let mut endpoints = self.endpoints.lock();
-        if !endpoints.evacuations.is_empty() {
-            endpoints.evacuate(|evacuations| evacuations.settle(now), now);
+        if !endpoints.directory.evacuations.is_empty() {
+            endpoints.directory.evacuate(|evacuations| evacuations.settle(now), now);
         }
     }
 
     /// Returns the evacuated data centres, sorted.
     pub fn evacuated(&self) -> Vec<Arc<str>> {
-        self.endpoints.lock().evacuations.centres()
+        self.endpoints.lock().directory.evacuations.centres()
     }
 
     /// Whether evacuations alone keep all requests with these criteria from being sent.
     pub(crate) fn is_evacuated(&self, criteria: &Criteria<'_>) -> bool {
-        self.endpoints.lock().is_evacuated(criteria)
+        self.endpoints.lock().directory.is_evacuated(criteria)
     }
 
     /// Chooses the endpoint of a request, and counts the request as in flight there until
@@ -259,7 +233,7 @@
 
     /// Returns the rules of a service's slow start, if it has one.
     fn slow_start(&self, service: &str) -> Option<Rules> {
-        let bounds = self.cold?;
+        let bounds = self.options.slow_start?;
         let SlowStart { per_s, time } = self.table().service(service)?.slow_start?;
         Some(Rules { per_s, time, bounds })
     }
@@ -337,52 +311,15 @@
         self.endpoints.lock().set_other_loads(loads, self.now());
     }
 
-    /// Returns how long requests with these parts of a prompt are refused; `None` if they may be
-    /// sent.
-    pub(crate) fn blocked_for(&self, request: &Suspect) -> Option<Duration> {
-        self.quarantine.blocked_for(request, self.now())
-    }
-
-    /// Records that a request with these parts of a prompt was answered.
-    pub(crate) fn record_sound(&self, request: &Suspect) {
-        self.quarantine.record_success(request, self.now());
-    }
-
-    /// Records that a request broke off at an endpoint. Returns whether it should be checked if
-    /// the endpoint has crashed.
-    pub(crate) fn record_broken(
-        &self,
-        endpoint: &Endpoint,
-        request: Suspect,
-        begun: Option<Duration>,
-    ) -> bool {
-        self.quarantine.record_broken(endpoint, request, begun, self.now())
-    }
-
     /// Records that an endpoint has crashed, if requests broke off there.
     pub(crate) fn record_crash(&self, endpoint: &Endpoint) {
         self.quarantine.confirm(endpoint, self.now());
     }
 
-    /// Returns what other gateways should know of crashes; `is_new` for one that has just started.
-    pub(crate) fn crashes(&self, is_new: bool) -> Digest {
-        self.quarantine.digest(is_new, self.now())
-    }
-
-    /// Learns of crashes that other gateways know.
-    pub(crate) fn learn_crashes(&self, digest: &Digest) {
-        self.quarantine.learn(digest, self.now());
-    }
-
-    /// Returns the parts that are blamed, with the crashes for which they are.
-    pub(crate) fn quarantined(&self) -> Vec<(Suspect, Vec<StartId>)> {
-        self.quarantine.evidence()
-    }
-
     /// Records how long an endpoint took for work, with the requests that it had at the beginning. It
     /// is compared with work at as many requests as the endpoint had on average.
     pub(crate) fn record_time(&self, endpoint: &Endpoint, work: Work, took: Duration) {
-        if self.learns_speed {
+        if self.options.learns_speed {
             let (now, mut endpoints) = (self.now(), self.endpoints.lock());
             // The request itself is still in flight.
             let others = endpoints.requests(&endpoint.id, now).saturating_sub(1);
@@ -393,7 +330,7 @@
 
     /// Records the mean pause between pieces of a stream.
     pub(crate) fn record_pause(&self, endpoint: &Endpoint, pause: Duration) {
-        if self.learns_speed {
+        if self.options.learns_speed {
             let (now, mut endpoints) = (self.now(), self.endpoints.lock());
             let requests = endpoints.requests(&endpoint.id, now);
             let work = Work { kind: Kind::Pause, class: 0, tokens: 0, requests };
@@ -403,7 +340,7 @@
 
     /// Marks an endpoint as replaced by another one at its address.
     pub(crate) fn set_replaced(&self, id: &str) {
-        self.endpoints.lock().set_replaced(id);
+        self.endpoints.lock().directory.set_replaced(id);
     }
 
     /// Records a successful response of an endpoint and its latency.
--- a/crates/gateway/tests/sessions/failures.rs
+++ b/crates/gateway/tests/sessions/failures.rs
@@ -4,6 +4,7 @@
 use std::thread;
 use std::time::Duration;
 
+use gateway::Options;
 use gateway::Peers;
 use gateway::Routing;
 use policy::exchange::Report;
@@ -61,7 +62,7 @@
 #[test]
 fn an_endpoint_that_fails_half_of_the_requests_is_avoided_until_that_is_forgotten() {
     let (one, two) = (Endpoint::start("e1", unreliable()), Endpoint::start("e2", reliable()));
-    let routing = Routing::default().with_shared_failures();
+    let routing = Routing::new(Options { shares_failures: true, ..Options::default() });
     let fixture = Fixture::with_routing(routing, "plain", &[&one, &two]);
     book(&fixture, 80);
     assert_eq!(book(&fixture, 40), 0);
@@ -83,7 +84,7 @@
 #[test]
 fn requests_that_may_be_repeated_try_an_endpoint_that_is_avoided() {
     let (one, two) = (Endpoint::start("e1", unreliable()), Endpoint::start("e2", reliable()));
-    let routing = Routing::default().with_shared_failures();
+    let routing = Routing::new(Options { shares_failures: true, ..Options::default() });
     let fixture = Fixture::with_routing(routing, "plain", &[&one, &two]);
     book(&fixture, 80);
     let before = one.seen().len();
@@ -122,7 +123,7 @@
 #[test]
 fn an_endpoint_that_failed_requests_of_another_gateway_is_avoided() {
     let (one, two) = (Endpoint::start("e1", reliable()), Endpoint::start("e2", reliable()));
-    let routing = Routing::default().with_shared_failures();
+    let routing = Routing::new(Options { shares_failures: true, ..Options::default() });
     let fixture = Fixture::with_routing(routing, "plain", &[&one, &two]);
     let members = [member("g1", 500), member("g2", 90), member("g3", 90)];
     let cancel = CancellationToken::new();
--- a/crates/gateway/tests/sessions/speeds.rs
+++ b/crates/gateway/tests/sessions/speeds.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use gateway::Options;
 use gateway::Routing;
 use parking_lot::Mutex;
 use policy::observation::Report;
@@ -59,7 +60,7 @@
     let scripted = Arc::new(Mutex::new(responses(USUAL_MILLIS)));
     let changing = Endpoint::start_with("e1", &scripted);
     let steady = ["e2", "e3"].map(|id| Endpoint::start(id, responses(USUAL_MILLIS)));
-    let routing = Routing::default().with_learn_speed(true);
+    let routing = Routing::new(Options { learns_speed: true, ..Options::default() });
     let fixture = Fixture::unconfigured_with(routing);
     fixture.configure("plain", &[&changing, &steady[0], &steady[1]]);
     let got = |requests| {
--- a/crates/gateway/tests/sessions/support/fixture.rs
+++ b/crates/gateway/tests/sessions/support/fixture.rs
@@ -10,6 +10,7 @@
 use gateway::Context;
 use gateway::Limits;
 use gateway::News;
+use gateway::Options;
 use gateway::Routing;
 use platform::Codec;
 use policy::memory;
@@ -65,7 +66,8 @@
     /// Starts a gateway that holds back requests to cold endpoints.
     pub fn with_slow_start(service: &str, endpoints: &[&Endpoint]) -> Fixture {
         let bounds = Bounds { over: 1.5, slack: 5.0 };
-        let fixture = Fixture::unconfigured_with(Routing::default().with_slow_start(Some(bounds)));
+        let options = Options { slow_start: Some(bounds), ..Options::default() };
+        let fixture = Fixture::unconfigured_with(Routing::new(options));
         fixture.configure(service, endpoints);
         fixture
     }
