Keep the permits of cold endpoints for requests whose prompts belong there

Cold endpoints look idle, so requests without a home took their few permits, and those whose parts of prompts lie there went elsewhere. A cold endpoint now counts as having the mean load of the others.

--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -41,11 +41,12 @@
         if healthy.iter().any(is_free) {
             healthy.retain(|tracked| criteria.prefers(&tracked.endpoint));
         }
+        let mean = mean_requests(&healthy, now);
         let candidates: Vec<choice::Candidate<'_>> = healthy
             .iter()
             .map(|tracked| choice::Candidate {
                 name: &tracked.endpoint.id,
-                requests: tracked.occupancy.requests(now),
+                requests: requests(tracked, mean, now),
                 slots: tracked.endpoint.slots,
                 speed: self.speeds.speed(&tracked.endpoint),
                 is_far: *tracked.endpoint.centre != *criteria.centre,
@@ -130,3 +131,19 @@
         Some(sources[source].endpoint.address)
     }
 }
+
+/// Returns the mean requests of the endpoints that aren't held back while they are cold.
+fn mean_requests(healthy: &[&Tracked], now: Duration) -> f64 {
+    let warm = healthy.iter().filter(|tracked| !tracked.throttle.is_held());
+    let requests: Vec<f64> = warm.map(|tracked| tracked.occupancy.requests(now)).collect();
+    requests.iter().sum::<f64>() / requests.len().max(1) as f64
+}
+
+/// Returns the requests with which an endpoint is compared with the others.
+///
+/// A cold one looks idle, and counts as having the mean: its few permits are better used by requests
+/// whose parts of prompts belong there, as others read them again, than by any that find it idle.
+fn requests(tracked: &Tracked, mean: f64, now: Duration) -> f64 {
+    let requests = tracked.occupancy.requests(now);
+    if tracked.throttle.is_held() { requests.max(mean) } else { requests }
+}
