Send requests elsewhere that an endpoint never answers

Callers of idempotent routes and of streams that may be resumed waited for their deadlines at an endpoint that had accepted the request and never answered, though another endpoint and another attempt were free.

Streams that may be resumed also go on elsewhere if their next event does not come. Requests of a mutating kind stay where they are.

With `share_failures`, silence counts at that time also for requests that can't be repeated, instead of at their deadlines.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -107,6 +107,9 @@
     if settings.share_failures {
         routing = routing.with_shared_failures();
     }
+    if settings.abandon_silent {
+        routing = routing.with_silent_abandoned();
+    }
     routing
 }
 
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,7 +1,9 @@
 //! A single attempt: sends a request to one endpoint.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -17,12 +19,17 @@
 use route::Endpoint;
 use route::Reply;
 use tokio::time::Instant;
+use tokio::time::timeout;
 use tokio::time::timeout_at;
 
 use crate::crash_check;
 use crate::criteria::Choice;
+use crate::forward;
+use crate::forward::Attempts;
 use crate::in_flight::InFlight;
+use crate::record;
 use crate::request::Request;
+use crate::silences::Stage;
 use crate::worker::Worker;
 
 /// Longest response that is buffered, in bytes, so that one response can't exhaust the
@@ -47,6 +54,8 @@
     NotRun,
     /// It is not known whether the request ran.
     Unknown,
+    /// The endpoint sent nothing for far longer than usual, and another one may be asked.
+    Silent,
     /// The deadline passed.
     TimedOut,
 }
@@ -70,22 +79,25 @@
 
 /// Sends a request to an endpoint and waits for its response until the request's deadline.
 ///
-/// A stream that is resumed continues after the event with the id `last_event`. `is_repeated` is set
-/// if the request has broken off at another endpoint before.
+/// A stream that is resumed continues after the event with the id `last_event`. The endpoint is
+/// already among the tried ones of `attempts`.
 pub(crate) async fn send(
     worker: &Rc<Worker>,
     request: &Request,
     choice: &Choice,
     last_event: Option<u64>,
-    is_repeated: bool,
+    attempts: &Attempts,
 ) -> Outcome {
-    let in_flight = InFlight::new(&worker.context.routing, &choice.endpoint.id);
-    let exchange = exchange(worker, request, choice, last_event, is_repeated, in_flight);
+    let routing = &worker.context.routing;
+    let in_flight = InFlight::new(routing, &choice.endpoint.id);
+    let patience = routing.silences().patience(&request.service, Stage::Head, request.time_left());
+    let exchange = exchange(worker, request, choice, last_event, attempts, patience, in_flight);
     let sent = Instant::now();
     let Ok(outcome) = timeout_at(request.deadline, exchange).await else {
         // An attempt that began late may have had too little time.
-        if sent.elapsed() * 2 >= request.deadline - request.start {
-            worker.context.routing.record_silence(&choice.endpoint);
+        let had_time = sent.elapsed() * 2 >= request.deadline - request.start;
+        if patience.is_none() && had_time {
+            routing.record_silence(&choice.endpoint);
         }
         return Outcome::TimedOut;
     };
@@ -98,9 +110,11 @@
     request: &Request,
     choice: &Choice,
     last_event: Option<u64>,
-    is_repeated: bool,
+    attempts: &Attempts,
+    patience: Option<Duration>,
     in_flight: InFlight,
 ) -> Outcome {
+    let is_repeated = attempts.has_broken_off;
     let endpoint = &choice.endpoint;
     let routing = &worker.context.routing;
     let dialect = &*worker.context.dialect;
@@ -121,9 +135,13 @@
         }
     };
     let sent = Instant::now();
-    let response = match connection.send(encoded).await {
-        Ok(response) => response,
-        Err(failure) => {
+    let responding = wait(connection.send(encoded), patience, || {
+        abandon(worker, request, endpoint, attempts, sent.elapsed())
+    });
+    let response = match responding.await {
+        None => return Outcome::Silent,
+        Some(Ok(response)) => response,
+        Some(Err(failure)) => {
             if matches!(failure, Failure::Broken(_)) {
                 crash_check::start(worker, request, endpoint, None, is_repeated);
             }
@@ -155,6 +173,9 @@
         routing.record_crash(endpoint);
     }
     let is_success = status.is_success();
+    if is_success {
+        routing.silences().record(&request.service, Stage::Head, begun - sent);
+    }
     if is_success && request.rule.kind.is_stream() && may_be_events(response.headers()) {
         routing.record_success(endpoint, sent.elapsed());
         let endpoint = Arc::clone(endpoint);
@@ -190,6 +211,40 @@
     Outcome::Full(FullResponse { status, headers: head.headers, body })
 }
 
+/// Waits for a result. After a time without one, asks whether to go on; `None` if not.
+async fn wait<T>(
+    result: impl Future<Output = T>,
+    patience: Option<Duration>,
+    is_abandoned: impl FnOnce() -> bool,
+) -> Option<T> {
+    let Some(patience) = patience else { return Some(result.await) };
+    let mut result = pin!(result);
+    if let Ok(result) = timeout(patience, &mut result).await {
+        return Some(result);
+    }
+    if is_abandoned() { None } else { Some(result.await) }
+}
+
+/// Decides whether an attempt is abandoned at an endpoint that has sent nothing for some time, and
+/// records the silence.
+fn abandon(
+    worker: &Worker,
+    request: &Request,
+    endpoint: &Endpoint,
+    attempts: &Attempts,
+    waited: Duration,
+) -> bool {
+    let routing = &worker.context.routing;
+    if !forward::may_abandon(worker, request, attempts, attempts.sent + 1) {
+        routing.record_silence(endpoint);
+        return false;
+    }
+    routing.silences().record(&request.service, Stage::Head, waited);
+    let is_ejected = routing.record_failure(endpoint);
+    record::silence(request, endpoint, waited, is_ejected);
+    true
+}
+
 /// Whether a response may be an event stream. A body of another type has no events by whose ends
 /// it could be checked.
 fn may_be_events(headers: &HeaderMap) -> bool {
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -373,7 +373,7 @@
     }
 
     /// Returns what an endpoint is selected from.
-    fn selection(&self) -> Selection<'_> {
+    pub(crate) fn selection(&self) -> Selection<'_> {
         Selection {
             endpoints: &self.endpoints,
             ejections: &self.ejections,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -135,6 +135,11 @@
                 attempts.has_broken_off = true;
                 allow_repeat(worker, request, attempts)
             }
+            Outcome::Silent => {
+                attempts.sent += 1;
+                attempts.may_have_run = true;
+                allow_repeat(worker, request, attempts)
+            }
             Outcome::TimedOut => return Err(Refusal::Late),
         };
         if !is_retried {
@@ -158,8 +163,7 @@
     }
     let choice = choose_next(worker, request, attempts)?;
     attempts.tried.push(Arc::clone(&choice.endpoint.id));
-    let outcome =
-        attempt::send(worker, request, &choice, last_event, attempts.has_broken_off).await;
+    let outcome = attempt::send(worker, request, &choice, last_event, attempts).await;
     record::attempt(request, &choice.endpoint, &outcome);
     Some(outcome)
 }
@@ -188,7 +192,7 @@
         tried: &attempts.tried,
         part: request.metadata.shared_part(),
         can_probe: request.rule.kind.is_repeatable() || seed % PROBE_ONE_IN == 0,
-        can_fail: can_repeat(worker, request, attempts),
+        can_fail: can_repeat(worker, request, attempts.sent + 1),
         now: worker.context.routing.now(),
         seed,
     }
@@ -220,13 +224,26 @@
         && worker.spend_retry(&request.service)
 }
 
-/// Whether a request may be sent once more if the next attempt fails, as far as is known now.
-fn can_repeat(worker: &Worker, request: &Request, attempts: &Attempts) -> bool {
+/// Whether a request that may have run may be sent once more after a number of attempts, as far as
+/// is known now.
+fn can_repeat(worker: &Worker, request: &Request, sent: u32) -> bool {
     request.rule.kind.is_repeatable()
-        && attempts.sent + 1 < request.rule.attempts
+        && sent < request.rule.attempts
         && worker.has_retry(&request.service)
 }
 
+/// Whether an attempt may be abandoned since another endpoint can be asked at once. `sent` counts
+/// this attempt too.
+pub(crate) fn may_abandon(
+    worker: &Worker,
+    request: &Request,
+    attempts: &Attempts,
+    sent: u32,
+) -> bool {
+    can_repeat(worker, request, sent)
+        && worker.context.routing.can_choose(&criteria(worker, request, attempts))
+}
+
 impl Attempts {
     /// Returns the response to the client after all attempts have failed.
     fn result(&mut self) -> Result<Response, Refusal> {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,6 +37,7 @@
 mod routing;
 mod selection;
 mod server;
+mod silences;
 mod tracked;
 mod worker;
 
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -96,6 +96,7 @@
         Outcome::Absent => "absent",
         Outcome::NotRun => "not_run",
         Outcome::Unknown => "unknown",
+        Outcome::Silent => "silent",
         Outcome::TimedOut => "late",
     };
     counter!("lycheeknot_gateway_attempts_total",
@@ -109,6 +110,13 @@
     }
 }
 
+/// Records that an attempt was abandoned at an endpoint that has sent nothing for some time.
+pub(crate) fn silence(request: &Request, endpoint: &Endpoint, waited: Duration, is_ejected: bool) {
+    log::warn!(id = request.id(), endpoint = &*endpoint.id, address:% = endpoint.address,
+        waited_ms = waited.as_millis() as u64, left_ms = request.time_left().as_millis() as u64,
+        is_ejected; "the endpoint is silent, another one is asked");
+}
+
 /// Records that the version that began a stream isn't known, with what the store has of it.
 pub(crate) fn unknown_version(service: &str, reason: &'static str, stored: &Stored) {
     let incomplete = stored.journals.iter().filter(|journal| !journal.is_complete).count();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,18 +1,22 @@
 //! Relays an event stream from an endpoint to a client.
 
+use std::fmt::Display;
 use std::io;
 use std::mem;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::HeaderMap;
 use http::StatusCode;
 use http::header::CONTENT_TYPE;
 use http_body_util::BodyExt;
+use hyper::body::Frame;
 use link::Body;
 use link::Connection;
 use tokio::time::Instant;
+use tokio::time::error::Elapsed;
 use tokio::time::timeout_at;
 
 use crate::attempt::Outcome;
@@ -26,8 +30,13 @@
 use crate::record;
 use crate::record::StreamEnd;
 use crate::request::Request;
+use crate::silences::Stage;
 use crate::worker::Worker;
 
+/// One in this many events of a stream is taken for the usual time between events: gateways relay
+/// thousands of them a second with a fraction of a core.
+const SAMPLED_ONE_IN: u64 = 16;
+
 /// Relays an event stream to a client, and resumes it at another endpoint if it breaks off.
 ///
 /// Dropping the relay closes the connection to the endpoint, so that it can stop its work.
@@ -55,15 +64,46 @@
     connection: Connection,
     /// When the response began.
     begun: Instant,
+    /// Reads so far.
+    reads: u64,
+    /// How long the next event may take before the stream is resumed elsewhere.
+    patience: Option<Duration>,
     _in_flight: InFlight,
 }
 
+impl Source {
+    /// Returns what is waited for.
+    fn stage(&self) -> Stage {
+        if self.reads == 0 { Stage::FirstEvent } else { Stage::NextEvent }
+    }
+
+    /// Whether the time of the next event is recorded, and how long it may take is looked up.
+    fn is_sampled(&self) -> bool {
+        self.reads % SAMPLED_ONE_IN <= 1
+    }
+}
+
 /// Result of one read from an endpoint.
 enum Read {
     Data(Bytes),
     End,
     Broken(String),
     TimedOut,
+    /// Nothing came for far longer than usual, and another endpoint may be asked.
+    Silent(Duration),
+}
+
+impl Read {
+    /// Takes the result of waiting for a frame.
+    fn new<E: Display>(frame: Result<Option<Result<Frame<Bytes>, E>>, Elapsed>) -> Read {
+        match frame {
+            Err(_) => Read::TimedOut,
+            Ok(None) => Read::End,
+            Ok(Some(Err(error))) => Read::Broken(error.to_string()),
+            // Trailers are ignored.
+            Ok(Some(Ok(frame))) => Read::Data(frame.into_data().unwrap_or_default()),
+        }
+    }
 }
 
 impl Relay {
@@ -109,7 +149,10 @@
     /// complete.
     pub(crate) async fn next(&mut self) -> Option<io::Result<Bytes>> {
         loop {
-            let cause = match self.read().await? {
+            let is_watched = self.worker.context.routing.silences().is_on;
+            let read = if is_watched { self.read_watched().await? } else { self.read().await? };
+            let is_silent = matches!(read, Read::Silent(_));
+            let cause = match read {
                 Read::Data(data) => match self.events.push(&data) {
                     Ok(events) if events.is_empty() => continue,
                     Ok(events) => {
@@ -126,13 +169,14 @@
                     Err(error) => error.to_string(),
                 },
                 Read::Broken(cause) => cause,
+                Read::Silent(waited) => format!("no event came for {waited:?}"),
                 Read::TimedOut => {
                     self.source = None;
                     self.log("late");
                     return Some(Err(io::Error::other("the deadline passed")));
                 }
             };
-            if !self.resume(&cause).await {
+            if !self.resume(&cause, is_silent).await {
                 self.log("cut");
                 return Some(Err(io::Error::other(cause)));
             }
@@ -165,26 +209,65 @@
     /// Reads from the endpoint until the deadline; `None` after the end of the stream.
     async fn read(&mut self) -> Option<Read> {
         let source = self.source.as_mut()?;
-        let read = match timeout_at(self.request.deadline, source.body.frame()).await {
-            Err(_) => Read::TimedOut,
-            Ok(None) => Read::End,
-            Ok(Some(Err(error))) => Read::Broken(error.to_string()),
-            // Trailers are ignored.
-            Ok(Some(Ok(frame))) => Read::Data(frame.into_data().unwrap_or_default()),
-        };
+        Some(Read::new(timeout_at(self.request.deadline, source.body.frame()).await))
+    }
+
+    /// Reads from the endpoint until the deadline, or until it is silent for too long; `None` after
+    /// the end of the stream.
+    async fn read_watched(&mut self) -> Option<Read> {
+        self.update_patience();
+        let (deadline, asked) = (self.request.deadline, Instant::now());
+        let source = self.source.as_mut()?;
+        let (stage, is_sampled) = (source.stage(), source.is_sampled());
+        source.reads += 1;
+        let silent = source.patience.map(|patience| asked + patience).filter(|at| *at < deadline);
+        let until = silent.unwrap_or(deadline);
+        let mut read = Read::new(timeout_at(until, source.body.frame()).await);
+        if matches!(read, Read::TimedOut) && silent.is_some() {
+            if self.may_abandon() {
+                self.record_time(stage, asked.elapsed());
+                return Some(Read::Silent(asked.elapsed()));
+            }
+            read = self.read().await?;
+        }
+        if is_sampled && matches!(read, Read::Data(_)) {
+            self.record_time(stage, asked.elapsed());
+        }
         Some(read)
     }
 
+    /// Sets how long the next event may take.
+    fn update_patience(&mut self) {
+        let Some(source) = self.source.as_mut().filter(|source| source.is_sampled()) else {
+            return;
+        };
+        let (routing, left) = (&self.worker.context.routing, self.request.time_left());
+        source.patience = routing.silences().patience(&self.request.service, source.stage(), left);
+    }
+
+    fn record_time(&self, stage: Stage, time: Duration) {
+        self.worker.context.routing.silences().record(&self.request.service, stage, time);
+    }
+
+    /// Whether the stream can go on at another endpoint at once.
+    fn may_abandon(&self) -> bool {
+        let can_go_on = !self.has_begun || self.events.last().is_some();
+        let (request, attempts) = (&self.request, &self.attempts);
+        can_go_on && forward::may_abandon(&self.worker, request, attempts, attempts.sent)
+    }
+
     /// Resumes the stream at another endpoint after the last whole event. Returns whether that
-    /// succeeded.
-    async fn resume(&mut self, cause: &str) -> bool {
+    /// succeeded. A stream that was silent has not broken off, so it is not blamed for a crash.
+    async fn resume(&mut self, cause: &str, is_silent: bool) -> bool {
         let Some(source) = self.source.take() else { return false };
         let worker = Rc::clone(&self.worker);
         worker.context.routing.record_broken_stream(&source.endpoint);
-        let begun = Some(source.begun.elapsed());
-        let is_repeated = self.attempts.has_broken_off;
-        crash_check::start(&worker, &self.request, &source.endpoint, begun, is_repeated);
-        self.attempts.has_broken_off = true;
+        if !is_silent {
+            let begun = Some(source.begun.elapsed());
+            let is_repeated = self.attempts.has_broken_off;
+            crash_check::start(&worker, &self.request, &source.endpoint, begun, is_repeated);
+            self.attempts.has_broken_off = true;
+        }
         log::warn!(id = self.request.id(), endpoint = &*source.endpoint.id,
             content:% = format_args!("{:x}", self.request.content),
             parts = self.request.part_names(), last:? = self.events.last(),
@@ -248,6 +331,8 @@
             body: response.into_body(),
             connection,
             begun: Instant::now(),
+            reads: 0,
+            patience: None,
             _in_flight: in_flight,
         }
     }
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -31,6 +31,7 @@
 use crate::failures::End;
 use crate::origins::Origins;
 use crate::quarantine::Quarantine;
+use crate::silences::Silences;
 
 /// Gateways among which limits of endpoints are divided while their number isn't known: as many as
 /// the largest fleet has that this is designed for.
@@ -45,6 +46,7 @@
     endpoints: Mutex<Endpoints>,
     quarantine: Quarantine,
     origins: Origins,
+    silences: Silences,
     /// Number of registered gateways, including this one; 0 while it is not known.
     gateways: AtomicU32,
 }
@@ -57,6 +59,7 @@
             endpoints: Mutex::new(Endpoints::new(rand::rng().random())),
             quarantine: Quarantine::default(),
             origins: Origins::default(),
+            silences: Silences::default(),
             gateways: AtomicU32::default(),
         }
     }
@@ -71,6 +74,14 @@
         self
     }
 
+    /// Returns the value with attempts abandoned at endpoints that are silent for far longer than
+    /// usual.
+    #[must_use]
+    pub fn with_silent_abandoned(mut self) -> Routing {
+        self.silences.is_on = true;
+        self
+    }
+
     /// Returns the time since this value was created. All times of endpoints, locations and the
     /// [`crate::Mirror`] are given by this clock.
     pub fn now(&self) -> Duration {
@@ -144,6 +155,11 @@
         &self.origins
     }
 
+    /// Returns how long endpoints usually take.
+    pub(crate) fn silences(&self) -> &Silences {
+        &self.silences
+    }
+
     /// Returns the version that began a stream of a service; `None` if that can't be found out
     /// before the deadline.
     pub(crate) async fn find_version(
@@ -189,6 +205,11 @@
         self.endpoints.lock().choose(criteria, gateways, self.now())
     }
 
+    /// Whether there is an endpoint that a request with these criteria could be sent to now.
+    pub(crate) fn can_choose(&self, criteria: &Criteria<'_>) -> bool {
+        self.endpoints.lock().selection().best(criteria, self.now()).is_some()
+    }
+
     /// Records the end of a request at an endpoint.
     pub(crate) fn request_ended(&self, id: &str) {
         self.endpoints.lock().request_ended(id);
--- a/crates/gateway/tests/sessions/main.rs
+++ b/crates/gateway/tests/sessions/main.rs
@@ -9,6 +9,7 @@
 mod loads;
 mod notices;
 mod requests;
+mod silences;
 mod stops;
 #[path = "../support/store.rs"]
 mod store;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -30,3 +30,4 @@
 pub mod revision;
 pub mod roster;
 pub mod sequence;
+pub mod silence;
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -40,6 +40,8 @@
     pub processes: u32,
     /// Whether failures of endpoints are shared with other gateways and used to choose endpoints.
     pub share_failures: bool,
+    /// Whether attempts are abandoned at endpoints that are silent for far longer than usual.
+    pub abandon_silent: bool,
     /// Time for which the process stays reachable after a request to stop.
     pub stop_notice: Duration,
     /// Time for which requests in flight may continue after that.
@@ -90,6 +92,7 @@
         let endpoints = root.child("endpoints", faults);
         endpoints.check_keys(&[key::GATEWAY_ENDPOINTS], faults);
         let share_failures = endpoints.flag_or("share_failures", false, faults);
+        let abandon_silent = endpoints.flag_or("abandon_silent", false, faults);
         Some(Gateway {
             vm: vm?,
             centre: centre?,
@@ -106,6 +109,7 @@
             retry_slack: slack?,
             processes: u32::try_from(processes?).ok()?,
             share_failures: share_failures?,
+            abandon_silent: abandon_silent?,
             stop_notice: Duration::from_millis(notice?),
             stop_grace: Duration::from_millis(grace?),
         })
--- a/crates/settings/src/key.rs
+++ b/crates/settings/src/key.rs
@@ -54,7 +54,7 @@
 pub const GATEWAY_RETRY: &[&str] = &["ratio", "slack", "processes"];
 
 /// Keys of a gateway's `[endpoints]`.
-pub const GATEWAY_ENDPOINTS: &[&str] = &["share_failures"];
+pub const GATEWAY_ENDPOINTS: &[&str] = &["share_failures", "abandon_silent"];
 
 /// Returns the full names of all keys of an entry or agent, such as `listen.data`,
 /// in the order of the lists.
--- a/crates/settings/tests/gateway.rs
+++ b/crates/settings/tests/gateway.rs
@@ -59,6 +59,7 @@
                 retry_slack: 58.0,
                 processes: 8,
                 share_failures: false,
+                abandon_silent: false,
                 stop_notice: 2.6s,
                 stop_grace: 5s,
             }
@@ -115,12 +116,13 @@
 #[test]
 fn the_section_on_endpoints_switches_parts_on() {
     let switched = |section: &str| match File::parse(&format!("{VALID}{section}")) {
-        Ok(File::Gateway(gateway)) => Some(gateway.share_failures),
+        Ok(File::Gateway(gateway)) => Some((gateway.share_failures, gateway.abandon_silent)),
         _ => None,
     };
-    assert_eq!(switched(""), Some(false));
-    assert_eq!(switched("[endpoints]\n"), Some(false));
-    assert_eq!(switched("[endpoints]\nshare_failures = true\n"), Some(true));
+    assert_eq!(switched(""), Some((false, false)));
+    assert_eq!(switched("[endpoints]\n"), Some((false, false)));
+    assert_eq!(switched("[endpoints]\nshare_failures = true\n"), Some((true, false)));
+    assert_eq!(switched("[endpoints]\nabandon_silent = true\n"), Some((false, true)));
     check(
         &format!("{VALID}[endpoints]\nshare_failures = \"yes\"\n"),
         expect![[r#"
