--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -112,6 +112,7 @@
         spreads_stale_loads: settings.spread_stale_loads,
         shares_failures: settings.share_failures,
         learns_speed: settings.learn_speed,
+        abandons_silent: settings.abandon_silent,
     }
 }
 
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -271,7 +271,7 @@
     }
 
     /// Returns what an endpoint is selected from.
-    fn selection(&self, unseen: f64) -> Selection<'_> {
+    pub(crate) fn selection(&self, unseen: f64) -> Selection<'_> {
         Selection {
             endpoints: &self.directory.endpoints,
             ejections: &self.ejections,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -42,6 +42,7 @@
 mod routing;
 mod selection;
 mod server;
+mod silences;
 mod speeds;
 mod tracked;
 mod worker;
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -15,4 +15,6 @@
     pub shares_failures: bool,
     /// Whether endpoints are chosen by how fast they work.
     pub learns_speed: bool,
+    /// Whether attempts are abandoned at endpoints that are silent for far longer than usual.
+    pub abandons_silent: bool,
 }
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -37,6 +37,7 @@
 use crate::origins::Origins;
 use crate::quarantine::Quarantine;
 use crate::refusal::Refusal;
+use crate::silences::Silences;
 
 /// Gateways among which limits of endpoints are divided while their number isn't known: as many as
 /// the largest fleet has that this is designed for.
@@ -52,6 +53,7 @@
     endpoints: Mutex<Endpoints>,
     quarantine: Quarantine,
     origins: Origins,
+    silences: Silences,
     /// Number of registered gateways, including this one; 0 while it is not known.
     gateways: AtomicU32,
 }
@@ -72,6 +74,7 @@
             endpoints: Mutex::new(Endpoints::new(rand::rng().random(), options)),
             quarantine: Quarantine::default(),
             origins: Origins::default(),
+            silences: Silences::new(options.abandons_silent),
             gateways: AtomicU32::default(),
         }
     }
@@ -154,6 +157,11 @@
         &self.origins
     }
 
+    /// Returns how long endpoints usually take.
+    pub(crate) fn silences(&self) -> &Silences {
+        &self.silences
+    }
+
     /// Returns the version that began a stream of a service; `None` if that can't be found out
     /// before the deadline.
     pub(crate) async fn find_version(
@@ -238,6 +246,11 @@
         Some(Rules { per_s, time, bounds })
     }
 
+    /// Whether there is an endpoint that a request with these criteria could be sent to now.
+    pub(crate) fn can_choose(&self, criteria: &Criteria<'_>) -> bool {
+        self.endpoints.lock().selection(0.0).best(criteria, self.now()).is_some()
+    }
+
     /// Records the end of a request at an endpoint.
     pub(crate) fn request_ended(&self, id: &str) {
         self.endpoints.lock().request_ended(id);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod revision;
 pub mod roster;
 pub mod sequence;
+pub mod silence;
 pub mod slow_start;
 pub mod speed;
 pub mod spread;
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -55,6 +55,8 @@
     pub learn_speed: bool,
     /// How far the rate of cold endpoints may be exceeded; `None` if they are not held back.
     pub slow_start: Option<SlowStart>,
+    /// Whether attempts are abandoned at endpoints that are silent for far longer than usual.
+    pub abandon_silent: bool,
     /// Time for which the process stays reachable after a request to stop.
     pub stop_notice: Duration,
     /// Time for which requests in flight may continue after that.
@@ -134,6 +136,7 @@
         let share_failures = endpoints.flag_or("share_failures", false, faults);
         let learn_speed = endpoints.flag_or("learn_speed", false, faults);
         let slow_start = slow_start(&root.child("slow_start", faults), faults);
+        let abandon_silent = endpoints.flag_or("abandon_silent", false, faults);
         Some(Gateway {
             vm: vm?,
             centre: centre?,
@@ -159,6 +162,7 @@
             share_failures: share_failures?,
             learn_speed: learn_speed?,
             slow_start,
+            abandon_silent: abandon_silent?,
             stop_notice: Duration::from_millis(notice?),
             stop_grace: Duration::from_millis(grace?),
         })
--- a/crates/settings/src/key.rs
+++ b/crates/settings/src/key.rs
@@ -63,7 +63,8 @@
 pub const GATEWAY_RETRY: &[&str] = &["ratio", "slack", "processes"];
 
 /// Keys of a gateway's `[endpoints]`.
-pub const GATEWAY_ENDPOINTS: &[&str] = &["spread_stale_loads", "share_failures", "learn_speed"];
+pub const GATEWAY_ENDPOINTS: &[&str] =
+    &["spread_stale_loads", "share_failures", "learn_speed", "abandon_silent"];
 
 /// Keys of a gateway's `[slow_start]`.
 pub const GATEWAY_SLOW_START: &[&str] = &["over", "slack"];
