--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -6,12 +6,15 @@
 use std::time::Duration;
 
 use gateway::Context;
+use gateway::Limits;
 use gateway::Member;
+use gateway::Options;
 use gateway::Peers;
 use gateway::Routing;
 use ntex::rt::System;
 use platform::Client;
 use platform::Codec;
+use policy::slow_start::Bounds;
 use settings::Gateway;
 use telemetry::Readiness;
 use telemetry::Reason;
@@ -22,6 +25,7 @@
 
 use crate::Error;
 use crate::admin;
+use crate::memory;
 use crate::process;
 use crate::signals;
 
@@ -52,7 +56,7 @@
         TcpListener::bind(settings.clients).map_err(|error| Error::Listen("clients", error))?;
     let source = Source { recorder: recorder.clone(), readiness: readiness.clone() };
     let admin = admin::start(settings.admin, source)?;
-    let routing = Arc::new(routing(&settings));
+    let routing = Arc::new(Routing::new(options(&settings)));
     ntex::rt::spawn(recorder.upkeep(stop_background.clone()));
     let member = Member {
         vm: settings.vm.clone(),
@@ -101,16 +105,29 @@
     readiness.block(Reason::Stopping);
 }
 
-/// Returns the routing with the parts that are switched on.
-fn routing(settings: &Gateway) -> Routing {
-    let mut routing = Routing::default().with_learn_speed(settings.learn_speed);
-    if settings.spread_stale_loads {
-        routing = routing.with_spread_stale_loads();
+/// Returns the optional decisions that the settings switch on.
+fn options(settings: &Gateway) -> Options {
+    Options {
+        slow_start: settings.slow_start.map(|it| Bounds { over: it.over, slack: it.slack }),
+        spreads_stale_loads: settings.spread_stale_loads,
+        shares_failures: settings.share_failures,
+        learns_speed: settings.learn_speed,
+        abandons_silent: settings.abandon_silent,
     }
-    if settings.share_failures {
-        routing = routing.with_shared_failures();
+}
+
+fn limits(settings: &Gateway) -> Limits {
+    let memory = policy::memory::Limits::of_memory(settings.memory.unwrap_or_else(memory::default));
+    let connections = settings.connections.min(memory.connections);
+    log::info!(bodies = memory.bodies, reserve = memory.reserve, responses = memory.responses,
+        connections, is_set = settings.memory.is_some(); "limits of memory");
+    Limits {
+        connections,
+        memory,
+        body_stall: settings.body_stall,
+        body_rate: settings.body_rate,
+        response_stall: settings.response_stall,
     }
-    routing
 }
 
 fn context(settings: &Gateway, routing: Arc<Routing>, stop: CancellationToken) -> Context {
@@ -118,7 +135,7 @@
         dialect: Arc::new(Codec),
         routing,
         centre: settings.centre.clone(),
-        max_connections: settings.connections,
+        limits: limits(settings),
         retry_ratio: settings.retry_ratio,
         retry_slack: settings.retry_slack,
         min_gateways: settings.processes,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,10 +1,11 @@
 //! A single attempt: sends a request to one endpoint.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::StatusCode;
@@ -15,17 +16,25 @@
 use link::Failure;
 use link::Response;
 use policy::exchange;
+use policy::memory::Purpose;
 use policy::speed::Kind;
 use policy::speed::Work;
 use route::Endpoint;
 use route::Reply;
 use tokio::time::Instant;
+use tokio::time::timeout;
 use tokio::time::timeout_at;
 
 use crate::crash_check;
 use crate::criteria::Choice;
+use crate::forward;
+use crate::forward::Attempts;
 use crate::in_flight::InFlight;
+use crate::memory::Buffer;
+use crate::memory::Held;
+use crate::record;
 use crate::request::Request;
+use crate::silences::Stage;
 use crate::worker::Worker;
 
 /// Longest response that is buffered, in bytes, so that one response can't exhaust the
@@ -50,6 +59,8 @@
     NotRun,
     /// It is not known whether the request ran.
     Unknown,
+    /// The endpoint sent nothing for far longer than usual, and another one may be asked.
+    Silent,
     /// The deadline passed.
     TimedOut,
 }
@@ -60,6 +71,8 @@
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Memory that the body takes.
+    pub(crate) held: Rc<Held>,
 }
 
 /// The head of an event stream, with what is needed to read its events.
@@ -77,22 +90,25 @@
 
 /// Sends a request to an endpoint and waits for its response until the request's deadline.
 ///
-/// A stream that is resumed continues after the event with the id `last_event`. `is_repeated` is set
-/// if the request has broken off at another endpoint before.
+/// A stream that is resumed continues after the event with the id `last_event`. The endpoint is
+/// already among the tried ones of `attempts`.
 pub(crate) async fn send(
     worker: &Rc<Worker>,
     request: &Request,
     choice: &Choice,
     last_event: Option<u64>,
-    is_repeated: bool,
+    attempts: &Attempts,
 ) -> Outcome {
-    let in_flight = InFlight::new(&worker.context.routing, &choice.endpoint.id);
-    let exchange = exchange(worker, request, choice, last_event, is_repeated, in_flight);
+    let routing = &worker.context.routing;
+    let in_flight = InFlight::new(routing, &choice.endpoint.id);
+    let patience = routing.silences().patience(&request.service, Stage::Head, request.time_left());
+    let exchange = exchange(worker, request, choice, last_event, attempts, patience, in_flight);
     let sent = Instant::now();
     let Ok(outcome) = timeout_at(request.deadline, exchange).await else {
         // An attempt that began late may have had too little time.
-        if sent.elapsed() * 2 >= request.deadline - request.start {
-            worker.context.routing.record_silence(&choice.endpoint);
+        let had_time = sent.elapsed() * 2 >= request.deadline - request.start;
+        if patience.is_none() && had_time {
+            routing.record_silence(&choice.endpoint);
         }
         return Outcome::TimedOut;
     };
@@ -105,9 +121,11 @@
     request: &Request,
     choice: &Choice,
     last_event: Option<u64>,
-    is_repeated: bool,
+    attempts: &Attempts,
+    patience: Option<Duration>,
     in_flight: InFlight,
 ) -> Outcome {
+    let is_repeated = attempts.has_broken_off;
     let endpoint = &choice.endpoint;
     let routing = &worker.context.routing;
     let dialect = &*worker.context.dialect;
@@ -128,9 +146,13 @@
         }
     };
     let sent = Instant::now();
-    let response = match connection.send(encoded).await {
-        Ok(response) => response,
-        Err(failure) => {
+    let responding = wait(connection.send(encoded), patience, || {
+        abandon(worker, request, endpoint, attempts, sent.elapsed())
+    });
+    let response = match responding.await {
+        None => return Outcome::Silent,
+        Some(Ok(response)) => response,
+        Some(Err(failure)) => {
             if matches!(failure, Failure::Broken(_)) {
                 crash_check::start(worker, request, endpoint, None, is_repeated);
             }
@@ -162,6 +184,9 @@
         routing.record_crash(endpoint);
     }
     let is_success = status.is_success();
+    if is_success {
+        routing.silences().record(&request.service, Stage::Head, begun - sent);
+    }
     if is_success && request.rule.kind.is_stream() && may_be_events(response.headers()) {
         routing.record_success(endpoint, sent.elapsed());
         let endpoint = Arc::clone(endpoint);
@@ -175,8 +200,8 @@
         }));
     }
     let (head, body) = response.into_parts();
-    let body = match collect(worker, body).await {
-        Ok(body) => body,
+    let (body, held) = match collect(worker, body).await {
+        Ok(collected) => collected,
         Err(cause) if reply.is_not_run => {
             log::debug!(id = request.id(); "reading the body of a refusal failed: {cause}");
             return Outcome::NotRun;
@@ -194,16 +219,53 @@
         routing.record_failure(endpoint);
     } else {
         routing.record_success(endpoint, sent.elapsed());
-        routing.record_sound(&request.suspect);
+        routing.quarantine().record_success(&request.suspect, routing.now());
     }
     // Refusals of other kinds take less work.
     if is_success {
-        let (class, tokens) =
-            (exchange::fingerprint(&request.rule.name), request.metadata.prompt_tokens);
+        // The way to another data centre is part of the time.
+        let is_far = *endpoint.centre != *worker.context.centre;
+        let class = exchange::fingerprint(&request.rule.name) ^ u32::from(is_far);
+        let tokens = request.metadata.prompt_tokens;
         let work = Work { kind: Kind::Whole, class, tokens, requests: choice.requests };
         routing.record_time(endpoint, work, sent.elapsed());
     }
-    Outcome::Full(FullResponse { status, headers: head.headers, body })
+    let held = Rc::new(held);
+    Outcome::Full(FullResponse { status, headers: head.headers, body, held })
+}
+
+/// Waits for a result. After a time without one, asks whether to go on; `None` if not.
+async fn wait<T>(
+    result: impl Future<Output = T>,
+    patience: Option<Duration>,
+    is_abandoned: impl FnOnce() -> bool,
+) -> Option<T> {
+    let Some(patience) = patience else { return Some(result.await) };
+    let mut result = pin!(result);
+    if let Ok(result) = timeout(patience, &mut result).await {
+        return Some(result);
+    }
+    if is_abandoned() { None } else { Some(result.await) }
+}
+
+/// Decides whether an attempt is abandoned at an endpoint that has sent nothing for some time, and
+/// records the silence.
+fn abandon(
+    worker: &Worker,
+    request: &Request,
+    endpoint: &Endpoint,
+    attempts: &Attempts,
+    waited: Duration,
+) -> bool {
+    let routing = &worker.context.routing;
+    if !forward::may_abandon(worker, request, attempts, attempts.sent + 1) {
+        routing.record_silence(endpoint);
+        return false;
+    }
+    routing.silences().record(&request.service, Stage::Head, waited);
+    let is_ejected = routing.record_failure(endpoint);
+    record::silence(request, endpoint, waited, is_ejected);
+    true
 }
 
 /// Whether a response may be an event stream. A body of another type has no events by whose ends
@@ -222,21 +284,21 @@
 ///
 /// A description of why that failed: the body broke off, it is too long, or the bodies that are
 /// read at the same time take too much memory together.
-async fn collect(worker: &Worker, mut body: Body) -> Result<Bytes, String> {
-    let mut reserved = worker.buffers.reserve();
-    let mut bytes = BytesMut::new();
+async fn collect(worker: &Worker, mut body: Body) -> Result<(Bytes, Held), String> {
+    let held = worker.memory.hold(Purpose::Response);
+    let mut buffer = Buffer::new(held, RESPONSE_MAX_BYTES);
     while let Some(frame) = body.frame().await {
         // Trailers are ignored.
         let Ok(data) = frame.map_err(|error| error.to_string())?.into_data() else { continue };
-        if bytes.len() + data.len() > RESPONSE_MAX_BYTES {
+        if buffer.len() + data.len() > RESPONSE_MAX_BYTES {
             return Err(format!("the body is longer than {RESPONSE_MAX_BYTES} bytes"));
         }
-        if !reserved.grow(data.len()) {
+        if !buffer.extend(&data) {
+            record::full("response");
             return Err("the bodies of all responses take too much memory".to_owned());
         }
-        bytes.extend_from_slice(&data);
     }
-    Ok(bytes.freeze())
+    Ok(buffer.finish())
 }
 
 /// Checks that a response belongs to the request.
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -10,6 +10,7 @@
 use policy::evacuation;
 use policy::failure_rate;
 use policy::quarantine::Block;
+use policy::slow_start::Turn;
 use policy::speed;
 use route::Endpoint;
 use route::Reply;
@@ -31,6 +32,20 @@
     count("-", "-", refusal.name());
 }
 
+/// Counts a body for which there was no room.
+pub(crate) fn full(body: &'static str) {
+    counter!("lycheeknot_gateway_memory_full_total", "body" => body).increment(1);
+}
+
+/// Records connections that were closed since their clients read nothing of their responses.
+pub(crate) fn unread(connections: usize, after: Duration) {
+    if connections == 0 {
+        return;
+    }
+    log::warn!(connections, after:?; "closed: the clients read nothing of their responses");
+    counter!("lycheeknot_gateway_unread_total").increment(connections as u64);
+}
+
 /// Guard that records a request as abandoned if it is dropped before the response starts,
 /// which happens when the client disconnects.
 pub(crate) struct Pending<'a> {
@@ -99,6 +114,7 @@
         Outcome::Absent => "absent",
         Outcome::NotRun => "not_run",
         Outcome::Unknown => "unknown",
+        Outcome::Silent => "silent",
         Outcome::TimedOut => "late",
     };
     counter!("lycheeknot_gateway_attempts_total",
@@ -112,6 +128,13 @@
     }
 }
 
+/// Records that an attempt was abandoned at an endpoint that has sent nothing for some time.
+pub(crate) fn silence(request: &Request, endpoint: &Endpoint, waited: Duration, is_ejected: bool) {
+    log::warn!(id = request.id(), endpoint = &*endpoint.id, address:% = endpoint.address,
+        waited_ms = waited.as_millis() as u64, left_ms = request.time_left().as_millis() as u64,
+        is_ejected; "the endpoint is silent, another one is asked");
+}
+
 /// Records that the version that began a stream isn't known, with what the store has of it.
 pub(crate) fn unknown_version(service: &str, reason: &'static str, stored: &Stored) {
     let incomplete = stored.journals.iter().filter(|journal| !journal.is_complete).count();
@@ -166,6 +189,20 @@
         .increment(1);
 }
 
+/// Records that an endpoint is held back as it is cold, or no longer is. `gateways` is the number of
+/// registered gateways.
+pub(crate) fn cold(endpoint: &Endpoint, turn: &Turn, gateways: u32, now: Duration) {
+    let Turn { is_held, known, rate, sent } = turn;
+    let (left, age) = (known.until.saturating_sub(now), now.saturating_sub(known.at));
+    log::info!(endpoint = &*endpoint.id, address:% = endpoint.address, is_held, gateways, rate, sent,
+        source:? = known.source, left_ms = left.as_millis() as u64, age_ms = age.as_millis() as u64;
+        "slow start");
+    if *is_held {
+        counter!("lycheeknot_gateway_slow_starts_total", "service" => endpoint.service.to_string())
+            .increment(1);
+    }
+}
+
 /// Records that an endpoint has said that it leaves, or that it wants no requests for a while.
 pub(crate) fn notice(endpoint: &Endpoint, reply: &Reply) {
     log::info!(endpoint = &*endpoint.id, address:% = endpoint.address, leaving = reply.is_leaving,
@@ -203,8 +240,8 @@
     log::info!(endpoint = &*endpoint.id, address:% = endpoint.address,
         service = &*endpoint.service, from:% = format_args!("{from:.2}"),
         speed:% = format_args!("{:.2}", judgement.speed),
-        ratio_2s:% = format_args!("{:.2}", judgement.fast),
-        ratio_5s:% = format_args!("{:.2}", judgement.slow),
+        ratio_short:% = format_args!("{:.2}", judgement.fast),
+        ratio_long:% = format_args!("{:.2}", judgement.slow),
         observations:% = format_args!("{:.1}", judgement.weight), reporters,
         age_ms = age.as_millis() as u64; "endpoint speed");
     counter!("lycheeknot_gateway_speed_changes_total", "service" => endpoint.service.to_string())
--- a/crates/gateway/tests/sessions/main.rs
+++ b/crates/gateway/tests/sessions/main.rs
@@ -6,10 +6,13 @@
 mod evacuations;
 mod failures;
 mod heads;
+mod held;
 mod limits;
 mod loads;
 mod notices;
 mod requests;
+mod silences;
+mod slow_starts;
 mod speeds;
 mod stops;
 #[path = "../support/store.rs"]
--- a/crates/gateway/tests/sessions/support/fixture.rs
+++ b/crates/gateway/tests/sessions/support/fixture.rs
@@ -8,9 +8,13 @@
 use std::time::Duration;
 
 use gateway::Context;
+use gateway::Limits;
 use gateway::News;
+use gateway::Options;
 use gateway::Routing;
 use platform::Codec;
+use policy::memory;
+use policy::slow_start::Bounds;
 use route::Dialect;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -33,7 +37,7 @@
      "resumable": true},
     {"name": "once", "hostname": "h.example", "prefix": "/once/", "type": "stream",
      "service": "model", "attempts": 1, "timeout_ms": 8000, "goal_ms": 400, "priority": 1}],
-  "services": [{"name": "plain"}, {"name": "model", "engine": {"slots": 64}}],
+  "services": [{"name": "plain", "cold_s": 1.0, "cold_per_s": 4}, {"name": "model", "engine": {"slots": 64}}],
   "limits": {"max_body_bytes": 1000, "idle_timeout_ms": 2000},
   "tenants": [{"name": "club", "api_keys": ["k1"], "priority": 3}]}"#;
 
@@ -59,6 +63,23 @@
         fixture
     }
 
+    /// Starts a gateway that holds back requests to cold endpoints.
+    pub fn with_slow_start(service: &str, endpoints: &[&Endpoint]) -> Fixture {
+        let bounds = Bounds { over: 1.5, slack: 5.0 };
+        let options = Options { slow_start: Some(bounds), ..Options::default() };
+        let fixture = Fixture::unconfigured_with(Routing::new(options));
+        fixture.configure(service, endpoints);
+        fixture
+    }
+
+    /// Announces for how many milliseconds an endpoint is cold, in an announcement with this number.
+    pub fn announce_cold(&self, service: &str, endpoint: &Endpoint, left_ms: u64, number: u64) {
+        let mut announced = decode(service, endpoint, "ready", "v1", 5);
+        announced.cold_left = Duration::from_millis(left_ms);
+        announced.sequence = Some(number);
+        self.routing.set_endpoint(announced);
+    }
+
     /// Gives the gateway the configuration and these endpoints of a service.
     pub fn configure(&self, service: &str, endpoints: &[&Endpoint]) {
         let table = Codec.table(CONFIGURATION.as_bytes()).expect("a configuration");
@@ -107,6 +128,13 @@
         self.server.is_finished()
     }
 
+    /// Starts a gateway with other limits than [`limits`].
+    pub fn limited(service: &str, endpoints: &[&Endpoint], limits: Limits) -> Fixture {
+        let fixture = Fixture::start(Routing::default(), limits);
+        fixture.configure(service, endpoints);
+        fixture
+    }
+
     /// Starts a gateway without a configuration and endpoints.
     pub fn unconfigured() -> Fixture {
         Fixture::unconfigured_with(Routing::default())
@@ -114,6 +142,10 @@
 
     /// Starts a gateway without a configuration and endpoints, whose routing has settings.
     pub fn unconfigured_with(routing: Routing) -> Fixture {
+        Fixture::start(routing, limits())
+    }
+
+    fn start(routing: Routing, limits: Limits) -> Fixture {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
         let routing = Arc::new(routing);
@@ -123,7 +155,7 @@
             dialect: Arc::new(Codec),
             routing: Arc::clone(&routing),
             centre: "a".to_owned(),
-            max_connections: 1_000,
+            limits,
             retry_ratio: 10.0,
             retry_slack: 100.0,
             min_gateways: 1,
@@ -141,6 +173,17 @@
     }
 }
 
+/// Returns limits that only broken clients meet.
+pub fn limits() -> Limits {
+    Limits {
+        connections: 1_000,
+        memory: memory::Limits::of_memory(256 * 1024 * 1024),
+        body_stall: Duration::from_secs(10),
+        body_rate: 8_192,
+        response_stall: Duration::from_secs(15),
+    }
+}
+
 impl Drop for Fixture {
     fn drop(&mut self) {
         self.stop.cancel();
--- a/crates/settings/src/key.rs
+++ b/crates/settings/src/key.rs
@@ -36,7 +36,7 @@
 
 /// Names of a gateway's sections.
 pub const GATEWAY_SECTIONS: &[&str] =
-    &["listen", "peer", "platform", "limit", "retry", "endpoints"];
+    &["listen", "peer", "platform", "limit", "retry", "endpoints", "slow_start"];
 
 /// Keys of a gateway's `[listen]`.
 pub const GATEWAY_LISTEN: &[&str] = &["clients", "admin", "control"];
@@ -48,13 +48,26 @@
 pub const GATEWAY_PLATFORM: &[&str] = &["store", "writes_per_s"];
 
 /// Keys of a gateway's `[limit]`.
-pub const GATEWAY_LIMIT: &[&str] = &["cores", "descriptors", "stop_notice_ms", "stop_grace_ms"];
+pub const GATEWAY_LIMIT: &[&str] = &[
+    "cores",
+    "descriptors",
+    "memory_mb",
+    "body_stall_ms",
+    "body_bytes_per_s",
+    "response_stall_ms",
+    "stop_notice_ms",
+    "stop_grace_ms",
+];
 
 /// Keys of a gateway's `[retry]`.
 pub const GATEWAY_RETRY: &[&str] = &["ratio", "slack", "processes"];
 
 /// Keys of a gateway's `[endpoints]`.
-pub const GATEWAY_ENDPOINTS: &[&str] = &["spread_stale_loads", "share_failures", "learn_speed"];
+pub const GATEWAY_ENDPOINTS: &[&str] =
+    &["spread_stale_loads", "share_failures", "learn_speed", "abandon_silent"];
+
+/// Keys of a gateway's `[slow_start]`.
+pub const GATEWAY_SLOW_START: &[&str] = &["over", "slack"];
 
 /// Returns the full names of all keys of an entry or agent, such as `listen.data`,
 /// in the order of the lists.
