--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,6 +1,8 @@
 //! Relays an event stream from an endpoint to a client.
 
-use std::fmt::Display;
+mod read;
+mod source;
+
 use std::io;
 use std::mem;
 use std::rc::Rc;
@@ -12,14 +14,9 @@
 use http::StatusCode;
 use http::header::CONTENT_TYPE;
 use http_body_util::BodyExt;
-use hyper::body::Frame;
-use link::Body;
-use link::Connection;
 use policy::speed::Kind;
-use policy::speed::Pace;
 use policy::speed::Work;
 use tokio::time::Instant;
-use tokio::time::error::Elapsed;
 use tokio::time::timeout_at;
 
 use crate::attempt::Outcome;
@@ -29,17 +26,14 @@
 use crate::forward;
 use crate::forward::Attempts;
 use crate::framing::Framing;
-use crate::in_flight::InFlight;
 use crate::record;
 use crate::record::StreamEnd;
+use crate::relay::read::Read;
+use crate::relay::source::Source;
 use crate::request::Request;
 use crate::silences::Stage;
 use crate::worker::Worker;
 
-/// One in this many events of a stream is taken for the usual time between events: gateways relay
-/// thousands of them a second with a fraction of a core.
-const SAMPLED_ONE_IN: u64 = 16;
-
 /// Relays an event stream to a client, and resumes it at another endpoint if it breaks off.
 ///
 /// Dropping the relay closes the connection to the endpoint, so that it can stop its work.
@@ -60,62 +54,6 @@
     has_begun: bool,
 }
 
-/// The endpoint that the events currently come from.
-struct Source {
-    endpoint: Arc<route::Endpoint>,
-    body: Body,
-    connection: Connection,
-    /// When the response began.
-    begun: Instant,
-    /// When the request was sent.
-    sent: Instant,
-    /// Requests that the endpoint had then.
-    requests: u32,
-    /// Whether events have arrived.
-    has_events: bool,
-    pace: Pace,
-    /// Reads so far.
-    reads: u64,
-    /// How long the next event may take before the stream is resumed elsewhere.
-    patience: Option<Duration>,
-    _in_flight: InFlight,
-}
-
-impl Source {
-    /// Returns what is waited for.
-    fn stage(&self) -> Stage {
-        if self.reads == 0 { Stage::FirstEvent } else { Stage::NextEvent }
-    }
-
-    /// Whether the time of the next event is recorded, and how long it may take is looked up.
-    fn is_sampled(&self) -> bool {
-        self.reads % SAMPLED_ONE_IN <= 1
-    }
-}
-
-/// Result of one read from an endpoint.
-enum Read {
-    Data(Bytes),
-    End,
-    Broken(String),
-    TimedOut,
-    /// Nothing came for far longer than usual, and another endpoint may be asked.
-    Silent(Duration),
-}
-
-impl Read {
-    /// Takes the result of waiting for a frame.
-    fn new<E: Display>(frame: Result<Option<Result<Frame<Bytes>, E>>, Elapsed>) -> Read {
-        match frame {
-            Err(_) => Read::TimedOut,
-            Ok(None) => Read::End,
-            Ok(Some(Err(error))) => Read::Broken(error.to_string()),
-            // Trailers are ignored.
-            Ok(Some(Ok(frame))) => Read::Data(frame.into_data().unwrap_or_default()),
-        }
-    }
-}
-
 impl Relay {
     /// Creates the relay of a stream that an endpoint has started.
     pub(crate) fn new(
@@ -372,25 +310,6 @@
     }
 }
 
-impl From<StreamStart> for Source {
-    fn from(start: StreamStart) -> Source {
-        let StreamStart { endpoint, response, connection, in_flight, sent, requests } = start;
-        Source {
-            endpoint,
-            body: response.into_body(),
-            connection,
-            begun: Instant::now(),
-            sent,
-            requests,
-            has_events: false,
-            pace: Pace::default(),
-            reads: 0,
-            patience: None,
-            _in_flight: in_flight,
-        }
-    }
-}
-
 impl Drop for Relay {
     fn drop(&mut self) {
         // The source is still there only if the client disconnected before the end.
