--- a/crates/policy/tests/spread.rs
+++ b/crates/policy/tests/spread.rs
@@ -161,13 +161,13 @@
 
 #[test]
 fn endpoints_fill_up_to_an_equal_level() {
-    let mut drawn = [0; 3];
+    let mut drawn = [0_i32; 3];
     for seed in 0..30_000 {
         drawn[spread::draw(&[10.0, 4.0, 1.0], 30.0, seed).expect("an endpoint")] += 1;
     }
     // The level is 15: 5, 11 and 14 requests of 30 are missing.
     for (count, expected) in drawn.iter().zip([5_000, 11_000, 14_000]) {
-        assert!((count - expected as i32).abs() < 500, "{drawn:?}");
+        assert!((count - expected).abs() < 500, "{drawn:?}");
     }
 }
 
