--- a/crates/gateway/tests/sessions/versions.rs
+++ b/crates/gateway/tests/sessions/versions.rs
@@ -27,7 +27,7 @@
 
 #[test]
 fn a_broken_stream_is_not_resumed_at_an_endpoint_of_another_version() {
-    for _ in 0..8 {
+    for _ in 0..24 {
         let broken = vec![stream_start(), event(1), Step::Pause(30), Step::Close];
         let old = Endpoint::start("e1", vec![broken]);
         let new = Endpoint::start("e2", vec![rest()]);
