--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -110,11 +110,15 @@
             .then_with(|| draw(left).total_cmp(&draw(right)))
             .then_with(|| tie_break(left).cmp(&tie_break(right)))
     });
-    // Without requests that aren't seen yet, the least loaded endpoint stays first.
-    let bounded = |(is_above, load): &(bool, f64)| if *is_above { f64::INFINITY } else { *load };
-    let bounded: Vec<f64> = loads.iter().map(bounded).collect();
-    if let Some(drawn) = spread::draw(&bounded, query.unseen, query.seed) {
-        move_to_front(drawn, &mut order);
+    if query.part.is_none() {
+        // Requests with parts have homes, and read them again wherever else they go, so that fewer other
+        // endpoints are better for them.
+        let bounded =
+            |(is_above, load): &(bool, f64)| if *is_above { f64::INFINITY } else { *load };
+        let bounded: Vec<f64> = loads.iter().map(bounded).collect();
+        if let Some(drawn) = spread::draw(&bounded, query.unseen, query.seed) {
+            move_to_front(drawn, &mut order);
+        }
     }
     if let Some(preferred) = preferred(query, candidates) {
         move_to_front(preferred, &mut order);
