--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -101,13 +101,15 @@
 ) -> Outcome {
     let routing = &worker.context.routing;
     let in_flight = InFlight::new(routing, &choice.endpoint.id);
-    let patience = routing.silences().patience(&request.service, Stage::Head, request.time_left());
-    let exchange = exchange(worker, request, choice, last_event, attempts, patience, in_flight);
+    let silence_timeout =
+        routing.silences().silence_timeout(&request.service, Stage::Head, request.time_left());
+    let exchange =
+        exchange(worker, request, choice, last_event, attempts, silence_timeout, in_flight);
     let sent = Instant::now();
     let Ok(outcome) = timeout_at(request.deadline, exchange).await else {
         // An attempt that began late may have had too little time.
         let had_time = sent.elapsed() * 2 >= request.deadline - request.start;
-        if patience.is_none() && had_time {
+        if silence_timeout.is_none() && had_time {
             routing.record_silence(&choice.endpoint);
         }
         return Outcome::TimedOut;
@@ -122,7 +124,7 @@
     choice: &Choice,
     last_event: Option<u64>,
     attempts: &Attempts,
-    patience: Option<Duration>,
+    silence_timeout: Option<Duration>,
     in_flight: InFlight,
 ) -> Outcome {
     let is_repeated = attempts.has_broken_off;
@@ -146,7 +148,7 @@
         }
     };
     let sent = Instant::now();
-    let responding = wait(connection.send(encoded), patience, || {
+    let responding = wait(connection.send(encoded), silence_timeout, || {
         abandon(worker, request, endpoint, attempts, sent.elapsed())
     });
     let response = match responding.await {
@@ -237,12 +239,12 @@
 /// Waits for a result. After a time without one, asks whether to go on; `None` if not.
 async fn wait<T>(
     result: impl Future<Output = T>,
-    patience: Option<Duration>,
+    silence_timeout: Option<Duration>,
     is_abandoned: impl FnOnce() -> bool,
 ) -> Option<T> {
-    let Some(patience) = patience else { return Some(result.await) };
+    let Some(silence_timeout) = silence_timeout else { return Some(result.await) };
     let mut result = pin!(result);
-    if let Ok(result) = timeout(patience, &mut result).await {
+    if let Ok(result) = timeout(silence_timeout, &mut result).await {
         return Some(result);
     }
     if is_abandoned() { None } else { Some(result.await) }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -189,12 +189,15 @@
     /// Reads from the endpoint until the deadline, or until it is silent for too long; `None` after
     /// the end of the stream.
     async fn read_watched(&mut self) -> Option<Read> {
-        self.update_patience();
+        self.update_silence_timeout();
         let (deadline, asked) = (self.request.deadline, Instant::now());
         let source = self.source.as_mut()?;
         let (stage, is_sampled) = (source.stage(), source.is_sampled());
         source.reads += 1;
-        let silent = source.patience.map(|patience| asked + patience).filter(|at| *at < deadline);
+        let silent = source
+            .silence_timeout
+            .map(|silence_timeout| asked + silence_timeout)
+            .filter(|at| *at < deadline);
         let until = silent.unwrap_or(deadline);
         let awaited = self.worker.context.routing.now();
         let mut read = Read::new(timeout_at(until, source.body.frame()).await);
@@ -224,12 +227,13 @@
     }
 
     /// Sets how long the next event may take.
-    fn update_patience(&mut self) {
+    fn update_silence_timeout(&mut self) {
         let Some(source) = self.source.as_mut().filter(|source| source.is_sampled()) else {
             return;
         };
         let (routing, left) = (&self.worker.context.routing, self.request.time_left());
-        source.patience = routing.silences().patience(&self.request.service, source.stage(), left);
+        source.silence_timeout =
+            routing.silences().silence_timeout(&self.request.service, source.stage(), left);
     }
 
     fn record_time(&self, stage: Stage, time: Duration) {
--- a/crates/gateway/src/relay/source.rs
+++ b/crates/gateway/src/relay/source.rs
@@ -33,7 +33,7 @@
     /// Reads so far.
     pub(super) reads: u64,
     /// How long the next event may take before the stream is resumed elsewhere.
-    pub(super) patience: Option<Duration>,
+    pub(super) silence_timeout: Option<Duration>,
     _in_flight: InFlight,
 }
 
@@ -62,7 +62,7 @@
             has_events: false,
             pace: Pace::default(),
             reads: 0,
-            patience: None,
+            silence_timeout: None,
             _in_flight: in_flight,
         }
     }
--- a/crates/gateway/src/silences.rs
+++ b/crates/gateway/src/silences.rs
@@ -49,7 +49,12 @@
 
     /// Returns the time after which an attempt that got nothing may be abandoned, given the time
     /// until its deadline; `None` if it may not.
-    pub(crate) fn patience(&self, service: &str, stage: Stage, left: Duration) -> Option<Duration> {
+    pub(crate) fn silence_timeout(
+        &self,
+        service: &str,
+        stage: Stage,
+        left: Duration,
+    ) -> Option<Duration> {
         if !self.is_on {
             return None;
         }
