Keep to the load bound where loads are known late and where endpoints fail

Requests without parts were spread to endpoints above the bound too, and requests that avoid failing endpoints filled others up to the bound itself, though known loads lag.

--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -113,9 +113,12 @@
     if query.part.is_none() {
         // Requests with parts have homes, and read them again wherever else they go, so that fewer other
         // endpoints are better for them.
-        let bounded =
-            |(is_above, load): &(bool, f64)| if *is_above { f64::INFINITY } else { *load };
-        let bounded: Vec<f64> = loads.iter().map(bounded).collect();
+        // Loads that are known late are spread up to the operators' load bound, not beyond.
+        let max_requests = max_load(candidates);
+        let bounded = |(candidate, (_, load)): (&Candidate<'_>, &(bool, f64))| {
+            if candidate.requests > max_requests { f64::INFINITY } else { *load }
+        };
+        let bounded: Vec<f64> = candidates.iter().zip(&loads).map(bounded).collect();
         if let Some(drawn) = spread::draw(&bounded, query.unseen, query.seed) {
             move_to_front(drawn, &mut order);
         }
@@ -145,6 +148,11 @@
     if candidates.iter().all(|candidate| candidate.speed == 1.0) {
         return f64::INFINITY;
     }
+    max_load(candidates)
+}
+
+/// Returns the most requests with which an endpoint is chosen for anything but its low load.
+fn max_load(candidates: &[Candidate<'_>]) -> f64 {
     let total: f64 = candidates.iter().map(|candidate| candidate.requests).sum();
     let mean = total / candidates.len().max(1) as f64;
     mean * LONG_PART_LOAD_MULTIPLE + REUSE_SLACK_REQUESTS
--- a/crates/policy/src/failure_rate/room.rs
+++ b/crates/policy/src/failure_rate/room.rs
@@ -3,11 +3,12 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 /// No request is sent to an endpoint in place of a failing one above this multiple of the mean load
-/// of its service, and [`ROOM_SLACK_REQUESTS`]: the load bound of the operators.
-const ROOM_LOAD_MULTIPLE: f64 = 2.0;
+/// of its service, and [`ROOM_SLACK_REQUESTS`]. It is below the operators' load bound of 2 and 3, since
+/// known loads lag.
+const ROOM_LOAD_MULTIPLE: f64 = 1.8;
 
 /// See [`ROOM_LOAD_MULTIPLE`].
-const ROOM_SLACK_REQUESTS: f64 = 3.0;
+const ROOM_SLACK_REQUESTS: f64 = 2.5;
 
 /// Sound endpoints that are drawn for a request. With one, a third fewer requests are kept from failing
 /// endpoints; with four, endpoints go a tenth to four fifths further above the load bound.
