--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -58,6 +58,7 @@
             tokens: criteria.part.map_or(0, |part| part.tokens),
             share: criteria.part.map_or(0.0, |part| self.popularity.share(part.id, now)),
             unseen: self.unseen,
+            idle: self.evacuated(criteria),
             seed: criteria.seed,
         };
         let first = choice::order(&query, &candidates).into_iter().next()?;
@@ -109,6 +110,12 @@
         }
     }
 
+    /// Returns the number of endpoints that only an evacuation keeps from getting a request.
+    fn evacuated(&self, criteria: &Criteria<'_>) -> usize {
+        let is_evacuated = |it: &&Tracked| it.is_evacuated && it.is_usable(criteria);
+        self.endpoints.iter().filter(is_evacuated).count()
+    }
+
     /// Returns the address of another endpoint that is likely to have the shared prompt prefix
     /// cached. An endpoint copies only what it lacks, so one that has the prefix copies nothing.
     ///
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -81,6 +81,9 @@
     /// Requests that other gateways are expected to have sent since the loads were known, or 0 to
     /// take the loads as current.
     pub unseen: f64,
+    /// Endpoints of the service that are no candidates and have no requests, as those of evacuated
+    /// data centres. They count for the mean load, which the operators' load bound refers to.
+    pub idle: usize,
     /// Random bits, which break ties between equally loaded endpoints.
     pub seed: u64,
 }
@@ -88,7 +91,7 @@
 /// Returns the order in which to try the candidates, as indices into them.
 pub fn order(query: &Query, candidates: &[Candidate<'_>]) -> Vec<usize> {
     let mut order: Vec<usize> = (0..candidates.len()).collect();
-    let bound = load_bound(candidates);
+    let bound = load_bound(query, candidates);
     let load = |candidate: &Candidate<'_>| {
         let penalty = if candidate.is_far { FAR_PENALTY_REQUESTS } else { 0.0 };
         let is_above = candidate.requests > bound;
@@ -114,7 +117,7 @@
         // Requests with parts have homes, and read them again wherever else they go, so that fewer other
         // endpoints are better for them.
         // Loads that are known late are spread up to the operators' load bound, not beyond.
-        let max_requests = max_load(candidates);
+        let max_requests = max_load(query, candidates);
         let bounded = |(candidate, (_, load)): (&Candidate<'_>, &(bool, f64))| {
             if candidate.requests > max_requests { f64::INFINITY } else { *load }
         };
@@ -144,17 +147,17 @@
 
 /// Returns the most requests with which an endpoint is chosen for its speed. Endpoints of equal speed
 /// have no such bound, since the least loaded one is never above it.
-fn load_bound(candidates: &[Candidate<'_>]) -> f64 {
+fn load_bound(query: &Query, candidates: &[Candidate<'_>]) -> f64 {
     if candidates.iter().all(|candidate| candidate.speed == 1.0) {
         return f64::INFINITY;
     }
-    max_load(candidates)
+    max_load(query, candidates)
 }
 
 /// Returns the most requests with which an endpoint is chosen for anything but its low load.
-fn max_load(candidates: &[Candidate<'_>]) -> f64 {
+fn max_load(query: &Query, candidates: &[Candidate<'_>]) -> f64 {
     let total: f64 = candidates.iter().map(|candidate| candidate.requests).sum();
-    let mean = total / candidates.len().max(1) as f64;
+    let mean = total / (candidates.len() + query.idle).max(1) as f64;
     mean * LONG_PART_LOAD_MULTIPLE + REUSE_SLACK_REQUESTS
 }
 
@@ -179,9 +182,10 @@
     let part = query.part?;
     let total: f64 = candidates.iter().map(|candidate| candidate.requests).sum();
     let capacity: f64 = candidates.iter().map(|candidate| candidate.speed).sum();
+    let capacity = capacity + query.idle as f64;
     // The load at which all endpoints are equally busy.
     let mean = if capacity > 0.0 { total / capacity } else { 0.0 };
-    let bound = load_bound(candidates);
+    let bound = load_bound(query, candidates);
     let has_room = |index: &usize| {
         let candidate = &candidates[*index];
         let slots = candidate.slots.map(f64::from);
--- a/crates/policy/tests/choice.rs
+++ b/crates/policy/tests/choice.rs
@@ -23,7 +23,7 @@
 }
 
 fn query(part: Option<u64>, tokens: u32) -> Query {
-    Query { part, tokens, share: 0.0, unseen: 0.0, seed: 7 }
+    Query { part, tokens, share: 0.0, unseen: 0.0, idle: 0, seed: 7 }
 }
 
 fn first(query: &Query, candidates: &[Candidate<'_>]) -> String {
@@ -265,3 +265,21 @@
         (0..100).map(|part| first(&query(Some(part), 9_000), &candidates)).collect();
     assert!(places.iter().any(|place| place != "e4"));
 }
+
+/// Guards against endpoints that get more than the load bound while a data centre is evacuated: the
+/// bound refers to the mean over all endpoints of the service.
+#[test]
+fn evacuated_endpoints_do_not_count_for_the_mean() {
+    let all = candidates(&[6.0, 6.0, 6.0, 9.0]);
+    let names: Vec<u64> = (0..64).collect();
+    let busiest = |idle: usize| {
+        let first = |part: &&u64| {
+            let query = Query { idle, ..query(Some(**part), 10_000) };
+            choice::order(&query, &all)[0] == 3
+        };
+        names.iter().filter(first).count()
+    };
+    // The bound is 2 * 27 / 4 + 3 with all endpoints, and 2 * 27 / 8 + 3 with four idle ones.
+    assert!(busiest(0) > 0);
+    assert_eq!(busiest(4), 0);
+}
--- a/crates/policy/tests/failure_rate_fleet/fleet.rs
+++ b/crates/policy/tests/failure_rate_fleet/fleet.rs
@@ -216,7 +216,7 @@
                 is_limited: false,
             })
             .collect();
-        let query = choice::Query { part: None, tokens: 0, share: 0.0, unseen: 0.0, seed };
+        let query = choice::Query { part: None, tokens: 0, share: 0.0, unseen: 0.0, idle: 0, seed };
         choice::order(&query, &candidates).first().map(|first| order[*first])
     }
 
--- a/crates/policy/tests/fleet_load.rs
+++ b/crates/policy/tests/fleet_load.rs
@@ -219,7 +219,8 @@
         popularity.record(part, now);
         let share = if self.is_spread { popularity.share(part, now) } else { 0.0 };
         let seed = self.random.random();
-        let query = Query { part: Some(part), tokens: tokens(part), share, unseen: 0.0, seed };
+        let query =
+            Query { part: Some(part), tokens: tokens(part), share, unseen: 0.0, idle: 0, seed };
         let endpoint = choice::order(&query, &candidates)[0];
         let idle: Vec<Candidate<'_>> =
             candidates.iter().map(|known| Candidate { requests: 0.0, ..*known }).collect();
--- a/crates/policy/tests/speed.rs
+++ b/crates/policy/tests/speed.rs
@@ -145,8 +145,14 @@
                     is_limited: false,
                 };
                 let candidates: Vec<Candidate<'_>> = (0..ENDPOINTS).map(candidate).collect();
-                let query =
-                    Query { part: None, tokens: 0, share: 0.0, unseen: 0.0, seed: random.random() };
+                let query = Query {
+                    part: None,
+                    tokens: 0,
+                    share: 0.0,
+                    unseen: 0.0,
+                    idle: 0,
+                    seed: random.random(),
+                };
                 let endpoint = choice::order(&query, &candidates)[0];
                 let requests = known[gateway][endpoint];
                 let left = 200.0 / self.scale * (0.5 + random.random::<f64>());
--- a/crates/policy/tests/spread.rs
+++ b/crates/policy/tests/spread.rs
@@ -82,7 +82,7 @@
             is_far: false,
             is_limited: false,
         };
-        let query = Query { part: None, tokens: 0, share: 0.0, unseen, seed };
+        let query = Query { part: None, tokens: 0, share: 0.0, unseen, idle: 0, seed };
         let endpoint = choice::order(&query, &[0, 1, 2].map(candidate))[0];
         let ends = self.held.iter().filter(|request| request.endpoint == endpoint);
         let mut ends: Vec<u64> = ends.map(|request| request.ends).collect();
