--- a/crates/policy/src/failure_rate/sheet.rs
+++ b/crates/policy/src/failure_rate/sheet.rs
@@ -50,7 +50,7 @@
         sheet
     }
 
-    /// Adds the requests of another gateway. Endpoints beyond [`MAX_ROWS`] are left out.
+    /// Adds the requests of another gateway. Endpoints beyond the most rows of a sheet are left out.
     pub fn add(&mut self, row: Row) {
         match self.find(row.endpoint) {
             Ok(index) => {
