--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -236,7 +236,8 @@
     Outcome::Full(FullResponse { status, headers: head.headers, body, held })
 }
 
-/// Waits for a result. After a time without one, asks whether to go on; `None` if not.
+/// Waits for a result. If none comes within the timeout, `is_abandoned` decides; returns `None` if the
+/// attempt is abandoned.
 async fn wait<T>(
     result: impl Future<Output = T>,
     silence_timeout: Option<Duration>,
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -35,7 +35,7 @@
     removed: Removed,
     /// Sorted by id.
     pub(crate) endpoints: Vec<Tracked>,
-    /// What is in force is changed by [`Directory::evacuate`] only.
+    /// Evacuated data centres; [`Directory::evacuate`] also updates the endpoints there.
     pub(crate) evacuations: Evacuations,
 }
 
