Review: stalled small bodies keep all new callers from a gateway

Cause: stalled bodies give way to a lack of memory only, not of connections. Tried: 2,200 chunked bodies of 200 bytes that stop short of their end, at one gateway.

--- a/review/kit-2/tests/main.rs
+++ b/review/kit-2/tests/main.rs
@@ -6,6 +6,7 @@
 mod json;
 mod limit;
 mod script;
+mod stall;
 mod store;
 mod versions;
 
@@ -16,6 +17,7 @@
         Some("versions") => versions::run(folder),
         Some("flood") => flood::run(folder),
         Some("limit") => limit::run(folder),
+        Some("stall") => stall::run(folder),
         _ => std::process::exit(2),
     }
 }
