Review: a stream goes on at another version after an engine started again with a new one

Cause: the entry of an engine that starts again under its id with another version is applied up to 400 ms after it was written, and streams of that time are taken for the version before. Tried: two of 17 engines go down and up by turns, 100 streams a second at three gateways.

--- a/review/kit-2/tests/engine.rs
+++ b/review/kit-2/tests/engine.rs
@@ -4,12 +4,14 @@
 use std::io;
 use std::io::BufReader;
 use std::io::Write;
+use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Condvar;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -25,7 +27,8 @@
 pub struct Engine {
     pub id: String,
     pub service: String,
-    pub version: String,
+    /// The version of its software.
+    pub version: Mutex<String>,
     pub zone: String,
     pub address: SocketAddr,
     pub slots: u32,
@@ -36,8 +39,11 @@
     pub pause: Duration,
     /// `Server-Limit` of its answers, in thousandths; 0 for none.
     pub limit: AtomicU64,
-    born: u64,
+    born: AtomicU64,
     seq: AtomicU64,
+    is_up: AtomicBool,
+    /// Connections of the present start.
+    open: Mutex<Vec<TcpStream>>,
     /// Running and waiting requests.
     load: Mutex<(u32, u32)>,
     freed: Condvar,
@@ -62,11 +68,10 @@
 impl Engine {
     pub fn start(id: &str, sort: &Sort, record: &Record) -> Arc<Engine> {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
         let engine = Arc::new(Engine {
             id: id.to_owned(),
             service: sort.service.to_owned(),
-            version: sort.version.to_owned(),
+            version: Mutex::new(sort.version.to_owned()),
             zone: sort.zone.to_owned(),
             address: listener.local_addr().unwrap(),
             slots: sort.slots,
@@ -74,28 +79,72 @@
             events: sort.events,
             pause: sort.pause,
             limit: AtomicU64::new(0),
-            born,
+            born: AtomicU64::new(unix_millis()),
             seq: AtomicU64::new(0),
+            is_up: AtomicBool::new(true),
+            open: Mutex::default(),
             load: Mutex::default(),
             freed: Condvar::new(),
             arrivals: Mutex::default(),
             extra: Mutex::default(),
             record: record.clone(),
         });
-        let served = engine.clone();
+        engine.accept(listener);
+        engine
+    }
+
+    /// Accepts connections until it crashes.
+    fn accept(self: &Arc<Engine>, listener: TcpListener) {
+        let engine = self.clone();
+        let _ = listener.set_nonblocking(true);
         thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let engine = served.clone();
+            while engine.is_up.load(Ordering::SeqCst) {
+                let Ok((stream, _)) = listener.accept() else {
+                    thread::sleep(Duration::from_millis(1));
+                    continue;
+                };
+                let _ = stream.set_nonblocking(false);
+                if let Ok(other) = stream.try_clone() {
+                    engine.open.lock().unwrap().push(other);
+                }
+                let engine = engine.clone();
                 thread::spawn(move || engine.serve(stream));
             }
         });
-        engine
+    }
+
+    /// Ends at once, without a word to the store, and closes its port and all connections.
+    pub fn crash(&self) {
+        self.record.add(format!("engine {} crashes", self.id));
+        self.is_up.store(false, Ordering::SeqCst);
+        thread::sleep(Duration::from_millis(5));
+        for stream in self.open.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Starts again under its id, at its address and with a version of its software, and writes its
+    /// entry at once.
+    pub fn restart(self: &Arc<Engine>, version: &str, store: &Store) {
+        *self.version.lock().unwrap() = version.to_owned();
+        self.born.store(unix_millis(), Ordering::SeqCst);
+        self.seq.store(0, Ordering::SeqCst);
+        let listener = loop {
+            match TcpListener::bind(self.address) {
+                Ok(listener) => break listener,
+                Err(_) => thread::sleep(Duration::from_millis(5)),
+            }
+        };
+        self.is_up.store(true, Ordering::SeqCst);
+        self.accept(listener);
+        self.announce(store, "ready");
     }
 
     /// Writes its entry.
     pub fn announce(&self, store: &Store, state: &str) {
         let seq = self.seq.fetch_add(1, Ordering::SeqCst) + 1;
-        let Engine { id, service, version, zone, address, slots, born, .. } = self;
+        let (version, born) = (self.version(), self.born.load(Ordering::SeqCst));
+        let Engine { id, service, zone, address, slots, .. } = self;
         let entry = format!(
             r#"{{"service":"{service}","address":"{address}","zone":"{zone}","version":"{version}","slots":{slots},"state":"{state}","cold_left_ms":0,"seq":{seq},"born":{born}}}"#
         );
@@ -120,7 +169,8 @@
             let last = request.header("last-event-id").and_then(|text| text.parse::<u64>().ok());
             self.record.add(format!(
                 "engine {} (version {}) runs {id}, after event {last:?}",
-                self.id, self.version
+                self.id,
+                self.version()
             ));
             let limit = self.limit.load(Ordering::SeqCst);
             if limit > 0 {
@@ -152,14 +202,19 @@
             Transfer-Encoding: chunked\r\n\r\n"
         );
         stream.write_all(text.as_bytes())?;
+        let version = self.version();
         for number in last + 1..=self.events {
             thread::sleep(self.pause);
-            let event = format!("id: {number}\ndata: {} {}\n\n", self.version, self.id);
+            let event = format!("id: {number}\ndata: {version} {}\n\n", self.id);
             stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
         }
         stream.write_all(b"0\r\n\r\n")
     }
 
+    fn version(&self) -> String {
+        self.version.lock().unwrap().clone()
+    }
+
     fn load_header(&self) -> String {
         let (running, waiting) = *self.load.lock().unwrap();
         format!("X-Server-Load: {running},{waiting},{}\r\n", self.slots)
@@ -180,3 +235,9 @@
         self.freed.notify_one();
     }
 }
+
+/// Returns the present time in Unix milliseconds.
+fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    since.as_millis() as u64
+}
--- a/review/kit-2/tests/main.rs
+++ b/review/kit-2/tests/main.rs
@@ -8,12 +8,15 @@
 mod script;
 mod stall;
 mod store;
+mod stream;
+mod upgrade;
 mod versions;
 
 fn main() {
     let args: Vec<String> = std::env::args().collect();
     let folder = args.get(2).map_or(".", String::as_str);
     match args.get(1).map(String::as_str) {
+        Some("upgrade") => upgrade::run(folder),
         Some("versions") => versions::run(folder),
         Some("flood") => flood::run(folder),
         Some("limit") => limit::run(folder),
