--- a/review/kit-2/tests/main.rs
+++ b/review/kit-2/tests/main.rs
@@ -4,6 +4,7 @@
 mod flood;
 mod http;
 mod json;
+mod lapse;
 mod limit;
 mod script;
 mod stall;
@@ -19,6 +20,7 @@
         Some("upgrade") => upgrade::run(folder),
         Some("versions") => versions::run(folder),
         Some("flood") => flood::run(folder),
+        Some("lapse") => lapse::run(folder),
         Some("limit") => limit::run(folder),
         Some("stall") => stall::run(folder),
         _ => std::process::exit(2),
--- a/review/kit-2/tests/store.rs
+++ b/review/kit-2/tests/store.rs
@@ -110,6 +110,14 @@
         self.state.1.notify_all();
     }
 
+    /// Ends all leases, as they run out while the store is down.
+    pub fn end_leases(&self) {
+        let mut state = self.state.0.lock().unwrap();
+        let leases: Vec<u64> = state.leases.keys().copied().collect();
+        leases.into_iter().for_each(|lease| state.end_lease(lease));
+        self.state.1.notify_all();
+    }
+
     /// Opens a door.
     pub fn door(&self) -> Door {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
--- a/review/kit-2/tests/stream.rs
+++ b/review/kit-2/tests/stream.rs
@@ -19,6 +19,8 @@
     pub last: u64,
     pub versions: Vec<String>,
     pub is_whole: bool,
+    /// Whether its client has taken it up again.
+    pub is_taken_up: bool,
 }
 
 /// Name and address of a gateway.
@@ -39,12 +41,19 @@
         if stream.lock().unwrap().is_whole || last == 0 {
             return;
         }
+        stream.lock().unwrap().is_taken_up = true;
         let again = format!("{id}-again");
         let headers = format!(
             "X-Request-Id: {again}\r\nResumes: {id}\r\nLast-Event-Id: {last}\r\n{}",
             model(&id)
         );
-        attempt(&record, &second, &again, &headers, &stream);
+        let status = attempt(&record, &second, &again, &headers, &stream);
+        if status == 503 {
+            // The refusal says to come back after a second.
+            thread::sleep(Duration::from_millis(1_050));
+            let headers = headers.replace(&again, &format!("{id}-once-more"));
+            attempt(&record, &second, &format!("{id}-once-more"), &headers, &stream);
+        }
     })
 }
 
@@ -64,11 +73,12 @@
     id: &str,
     headers: &str,
     stream: &Mutex<Stream>,
-) {
+) -> u16 {
     record.add(format!("client: {id} is sent to {name}"));
     let outcome = read(*address, headers, id, stream);
     let last = stream.lock().unwrap().last;
     record.add(format!("client: {id} at {name} ended with {outcome:?}, last event {last}"));
+    outcome.unwrap_or(0)
 }
 
 fn read(
