--- a/review/kit-2/tests/lapse.rs
+++ b/review/kit-2/tests/lapse.rs
@@ -15,6 +15,10 @@
 use crate::stream::Stream;
 use crate::stream::follow;
 
+/// Names and zones of the gateways, as many in each zone as the site has.
+const PLACES: [(&str, &str); 5] =
+    [("g1", "z1"), ("g2", "z1"), ("g3", "z2"), ("g4", "z2"), ("g5", "z3")];
+
 const EVENTS: u64 = 60;
 const CLIENTS: usize = 24;
 
@@ -42,7 +46,7 @@
         .map(|number| Engine::start(&format!("i-{number}"), &sort, &script.record))
         .collect();
     engines.iter().for_each(|engine| engine.announce(&script.store, "ready"));
-    let gateways = script.gateways(&[("g1", "z1"), ("g2", "z2"), ("g3", "z3")]);
+    let gateways = script.gateways(&PLACES);
     script.limit_time(&gateways);
     thread::sleep(Duration::from_secs(2));
     if script.trouble {
@@ -59,7 +63,7 @@
     let streams: Vec<Arc<Mutex<Stream>>> = (0..CLIENTS).map(|_| Arc::default()).collect();
     let mut clients = Vec::new();
     for (number, stream) in streams.iter().enumerate() {
-        let nodes = (nodes[0].clone(), nodes[1 + number % 2].clone());
+        let nodes = (nodes[0].clone(), nodes[1 + number % (PLACES.len() - 1)].clone());
         clients.push(follow(&script.record, format!("s{number}"), nodes, stream));
     }
     thread::sleep(Duration::from_millis(2_000));
@@ -75,7 +79,7 @@
     // New streams begin beside those that are taken up.
     let begun: Vec<Arc<Mutex<Stream>>> = (0..CLIENTS).map(|_| Arc::default()).collect();
     for (number, stream) in begun.iter().enumerate() {
-        let nodes = (nodes[1 + number % 2].clone(), nodes[1].clone());
+        let nodes = (nodes[1 + number % (PLACES.len() - 1)].clone(), nodes[1].clone());
         clients.push(follow(&script.record, format!("n{number}"), nodes, stream));
     }
     if script.trouble || std::env::var("POWER").is_ok() {
