Log from where the version of a stream that is taken up is known

The logs could not tell which of three explanations holds: an old row of another gateway, a replica with the wrong version, or an inference from journals; only refusals had a line.

Change: each take-up logs 'the version of a stream is known' with its source (own, replica, stored, inferred), and lycheeknot_gateway_known_versions_total counts them.

--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -159,9 +159,10 @@
         deadline: Instant,
         history: impl Fn() -> (History, Duration),
     ) -> Option<Arc<str>> {
-        for ledger in [&self.ledger, &self.replicas] {
+        for (ledger, source) in [(&self.ledger, "own"), (&self.replicas, "replica")] {
             let ledger = ledger.lock();
             if let Some(version) = stream.and_then(|stream| ledger.find(service, stream)) {
+                record::known_version(service, stream, version, source);
                 return Some(Arc::from(version));
             }
         }
@@ -174,7 +175,13 @@
             let (history, now) = history();
             let outlook = self.outlook(stored.restores, &history, now);
             match origin::resolve(&stored.journals, &outlook, service, stream) {
-                Origin::Version(version) => return Some(Arc::from(version)),
+                Origin::Version(version) => {
+                    let find = |stream| origin::find(&stored.journals, service, stream);
+                    let is_stored = stream.and_then(find).is_some();
+                    let source = if is_stored { "stored" } else { "inferred" };
+                    record::known_version(service, stream, version, source);
+                    return Some(Arc::from(version));
+                }
                 Origin::Pending if Instant::now() + PENDING_INTERVAL < deadline => {
                     sleep(PENDING_INTERVAL).await;
                 }
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -9,6 +9,7 @@
 use metrics::histogram;
 use policy::evacuation;
 use policy::failure_rate;
+use policy::origin::StreamId;
 use policy::quarantine::Block;
 use policy::slow_start::Turn;
 use policy::speed;
@@ -135,6 +136,19 @@
         is_ejected; "the endpoint is silent, another one is asked");
 }
 
+/// Records from where the version that began a stream is known.
+pub(crate) fn known_version(
+    service: &str,
+    stream: Option<StreamId>,
+    version: &str,
+    source: &'static str,
+) {
+    log::info!(service, stream:?, version, source; "the version of a stream is known");
+    counter!("lycheeknot_gateway_known_versions_total",
+        "service" => service.to_owned(), "source" => source)
+    .increment(1);
+}
+
 /// Records that the version that began a stream isn't known, with what the store has of it.
 pub(crate) fn unknown_version(service: &str, reason: &'static str, stored: &Stored) {
     let incomplete = stored.journals.iter().filter(|journal| !journal.is_complete).count();
--- a/crates/policy/src/origin.rs
+++ b/crates/policy/src/origin.rs
@@ -48,6 +48,11 @@
     xxh3_64(request.as_bytes()) as StreamId
 }
 
+/// Returns the version that began a stream of a service, if a gateway has stored it.
+pub fn find<'a>(journals: &'a [Journal], service: &str, stream: StreamId) -> Option<&'a str> {
+    journals.iter().find_map(|journal| journal.find(service, stream))
+}
+
 /// Returns which version began a stream of a service, by all that gateways have stored and by what
 /// the asking one knows itself.
 ///
@@ -61,8 +66,7 @@
     service: &str,
     stream: Option<StreamId>,
 ) -> Origin<'a> {
-    let find = |stream| journals.iter().find_map(|journal| journal.find(service, stream));
-    if let Some(version) = stream.and_then(find) {
+    if let Some(version) = stream.and_then(|stream| find(journals, service, stream)) {
         return Origin::Version(version);
     }
     let is_complete = journals.iter().all(|journal| journal.is_complete);
