Begin a stream of several versions only once another place knows its version

Its writes failed, and Origins::record let the first events go all the same. Only its hub had replicas, and nobody asked the hub.

Change: a stream whose version others can't tell begins once the store or another gateway has it, and else ends before its first event; further ones are refused at once for a second. Gateways adopt, that is, store the streams of one whose writes fail. A take-up is looked up at the hubs before anything is inferred. A process that starts learns from the journals which versions are in use. This works for other timings and counts as nothing is inferred any more from what a process failed to write.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -80,10 +80,14 @@
 
 /// Returns the version that began the stream that a request takes up; `None` if it takes up none.
 async fn find_version(worker: &Worker, request: &Request) -> Result<Option<Arc<str>>, Refusal> {
-    if request.metadata.last_event.is_none() || !request.is_resumable() {
+    if !request.is_resumable() {
         return Ok(None);
     }
     let routing = &worker.context.routing;
+    if request.metadata.last_event.is_none() {
+        let left = routing.origins().unsecured_for(&request.service, routing.now());
+        return left.map_or(Ok(None), |left| Err(Refusal::Unsecured(left)));
+    }
     let version = routing.find_version(&request.service, request.stream_id(), request.deadline);
     version.await.map(Some).ok_or(Refusal::UnknownVersion)
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod options;
 mod origins;
 mod peer;
+mod progress;
 mod quarantine;
 mod record;
 mod refusal;
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -1,6 +1,8 @@
 //! Which versions began the streams that clients take up, as this gateway knows it.
 
+use std::mem;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -22,6 +24,7 @@
 use tokio::time::timeout_at;
 
 use crate::history::History;
+use crate::progress::Progress;
 use crate::record;
 
 /// Longest time for which a request to resume a stream waits until the version that began it is
@@ -32,10 +35,18 @@
 /// Interval between reads of the store while others may still write what it lacks.
 const PENDING_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Longest time for which the first events of a stream are held back until the store has its
-/// version. It is short against the time to a first token.
+/// Longest time for which the first events of a stream are held back until both the store and another
+/// gateway have its version. It is short against the time to a first token.
 const HOLD_TIMEOUT: Duration = Duration::from_millis(60);
 
+/// Longest time after that until one of them has it. A client that waits longer does better to begin
+/// the stream at another gateway.
+const SECURE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time after a stream could not be recorded in which no other one begins: the store is tried again
+/// once a second.
+const UNSECURED_PAUSE: Duration = Duration::from_millis(1_000);
+
 /// The streams that began here, and those of other gateways as last read from the store.
 ///
 /// Requests are handled on other threads than calls of the store, so they ask for a read by
@@ -46,14 +57,24 @@
     /// Streams that other gateways have replicated here. A store that comes back from a copy may lack
     /// them.
     replicas: Mutex<Ledger>,
+    /// Streams of gateways that can't write to the store, which this one stores for them.
+    adopted: Mutex<Ledger>,
     /// Versions that the store has of this gateway, sorted by service and version.
     stored_versions: Mutex<Arc<Vec<(String, String)>>>,
     /// Number of the last stream that was recorded.
     recorded: AtomicU64,
-    /// Number of the last stream for which a write was tried.
-    tried: watch::Sender<u64>,
-    /// Number of the last stream for which replication was tried.
-    replicated: watch::Sender<u64>,
+    /// How far the streams are stored.
+    pub(crate) stored: Progress,
+    /// How far the streams are replicated to other gateways.
+    pub(crate) replicated: Progress,
+    /// Whether tasks store and replicate streams. Where none does, streams don't wait for them.
+    is_kept: AtomicBool,
+    /// Whether the last write of streams failed, or takes long.
+    is_failing: AtomicBool,
+    /// Until this time streams that have to be recorded don't begin here.
+    unsecured_until: Mutex<Duration>,
+    /// Streams whose versions the next read looks up at other gateways. Their rows have no versions.
+    asked: Mutex<Segment>,
     /// Signals that there is something to store.
     pub(crate) changed: Notify,
     /// Signals that there is something to replicate.
@@ -87,10 +108,15 @@
         Origins {
             ledger: Mutex::default(),
             replicas: Mutex::default(),
+            adopted: Mutex::default(),
             stored_versions: Mutex::default(),
             recorded: AtomicU64::default(),
-            tried: watch::Sender::default(),
-            replicated: watch::Sender::default(),
+            stored: Progress::default(),
+            replicated: Progress::default(),
+            is_kept: AtomicBool::default(),
+            is_failing: AtomicBool::default(),
+            unsecured_until: Mutex::default(),
+            asked: Mutex::default(),
             changed: Notify::new(),
             has_recent: Notify::new(),
             wanted: watch::Sender::default(),
@@ -108,46 +134,82 @@
         }
     }
 
-    /// Records the endpoint that sent the first event of a stream, and waits until that is stored
-    /// and replicated if the service has several versions.
+    /// Records the endpoint that sent the first event of a stream, and waits until others know it if they
+    /// can't tell its version otherwise. Returns whether they can, so that the event may be sent: a
+    /// stream that nobody else knows would go on at any version if this process ended. See
+    /// `docs/decisions/versions.md`.
     ///
     /// A stream that breaks off sooner has not begun for its client, which can begin it anew at any
-    /// version. It waits no longer if the write fails, or doesn't end soon.
-    pub(crate) async fn record(&self, endpoint: &Endpoint, stream: StreamId, now: Duration) {
-        let is_mixed = {
+    /// version.
+    pub(crate) async fn record(
+        &self,
+        endpoint: &Endpoint,
+        stream: StreamId,
+        now: Duration,
+    ) -> bool {
+        let is_recorded = {
             let mut ledger = self.ledger.lock();
             ledger.record(&endpoint.service, &endpoint.version, stream, now);
-            ledger.is_mixed(&endpoint.service, now)
+            ledger.is_recorded(&endpoint.service, now)
         };
-        if !is_mixed {
-            return;
+        if !is_recorded {
+            return true;
         }
         let number = self.recorded.fetch_add(1, Ordering::SeqCst) + 1;
         self.changed.notify_one();
         self.has_recent.notify_one();
-        let (mut tried, mut replicated) = (self.tried.subscribe(), self.replicated.subscribe());
-        let known = async {
-            let _ = tried.wait_for(|tried| *tried >= number).await;
-            let _ = replicated.wait_for(|replicated| *replicated >= number).await;
+        let tried = async {
+            self.stored.wait_tried(number).await;
+            self.replicated.wait_tried(number).await;
+        };
+        let _ = timeout(HOLD_TIMEOUT, tried).await;
+        if !self.is_kept.load(Ordering::SeqCst) {
+            return true;
+        }
+        let secured = async {
+            tokio::select! {
+                () = self.stored.wait_done(number) => {}
+                () = self.replicated.wait_done(number) => {}
+            }
         };
-        if timeout(HOLD_TIMEOUT, known).await.is_err() {
-            log::debug!(endpoint = &*endpoint.id; "a stream is sent before its version is stored");
+        let is_secured = timeout(SECURE_TIMEOUT, secured).await.is_ok();
+        let waited = HOLD_TIMEOUT + SECURE_TIMEOUT;
+        *self.unsecured_until.lock() =
+            if is_secured { Duration::ZERO } else { now + waited + UNSECURED_PAUSE };
+        if !is_secured {
+            record::unsecured(endpoint);
         }
+        is_secured
     }
 
-    /// Returns the number of the last stream that was recorded.
-    pub(crate) fn recorded(&self) -> u64 {
-        self.recorded.load(Ordering::SeqCst)
+    /// Returns how long streams of a service are refused, as the last one could not be recorded;
+    /// `None` if they may begin.
+    pub(crate) fn unsecured_for(&self, service: &str, now: Duration) -> Option<Duration> {
+        let left = self.unsecured_until.lock().saturating_sub(now);
+        let is_refused = !left.is_zero() && self.ledger.lock().is_recorded(service, now);
+        is_refused.then_some(left)
+    }
+
+    /// Lets streams wait for the tasks that store and replicate them. Until the store has the versions
+    /// of this gateway, all streams have to be recorded.
+    pub(crate) fn set_kept(&self) {
+        self.is_kept.store(true, Ordering::SeqCst);
+        self.ledger.lock().set_unstored(true);
     }
 
-    /// Releases the streams up to a number, for which a write was tried.
-    pub(crate) fn set_tried(&self, number: u64) {
-        self.tried.send_replace(number);
+    /// Sets whether the last write of streams failed, or takes long.
+    pub(crate) fn set_failing(&self, is_failing: bool) {
+        self.is_failing.store(is_failing, Ordering::SeqCst);
     }
 
-    /// Releases the streams up to a number, for which replication was tried.
-    pub(crate) fn set_replicated(&self, number: u64) {
-        self.replicated.send_replace(number);
+    /// Whether the last write of streams failed, or takes long, so that others have to store them.
+    pub(crate) fn is_failing(&self) -> bool {
+        self.is_failing.load(Ordering::SeqCst)
+    }
+
+    /// Returns the number of the last stream that was recorded.
+    pub(crate) fn recorded(&self) -> u64 {
+        self.recorded.load(Ordering::SeqCst)
     }
 
     /// Returns the version that began a stream of a service, which may have no id; `None` if that can't
@@ -159,16 +221,17 @@
         deadline: Instant,
         history: impl Fn() -> (History, Duration),
     ) -> Option<Arc<str>> {
-        for (ledger, source) in [(&self.ledger, "own"), (&self.replicas, "replica")] {
-            let ledger = ledger.lock();
-            if let Some(version) = stream.and_then(|stream| ledger.find(service, stream)) {
-                record::known_version(service, stream, version, source);
-                return Some(Arc::from(version));
-            }
+        if let Some(version) = self.find_here(service, stream) {
+            return Some(version);
         }
         let deadline = deadline.min(Instant::now() + FIND_TIMEOUT);
         loop {
-            let Some(stored) = self.read(deadline).await else {
+            let stored = self.read(service, stream, deadline).await;
+            // Other gateways may have sent what they know of it.
+            if let Some(version) = self.find_here(service, stream) {
+                return Some(version);
+            }
+            let Some(stored) = stored else {
                 record::unknown_version(service, "unread", &Stored::default());
                 return None;
             };
@@ -197,9 +260,34 @@
         }
     }
 
-    /// Returns what all gateways have stored, by a read that begins now; `None` if that fails or
-    /// doesn't end before the deadline.
-    async fn read(&self, deadline: Instant) -> Option<Arc<Stored>> {
+    /// Returns the version that began a stream as far as this gateway knows it without asking.
+    fn find_here(&self, service: &str, stream: Option<StreamId>) -> Option<Arc<str>> {
+        let (version, source) = self.known(service, stream?)?;
+        record::known_version(service, stream, &version, source);
+        Some(version)
+    }
+
+    /// Returns the version of a stream that began here or was replicated here, and which of both it is.
+    fn known(&self, service: &str, stream: StreamId) -> Option<(Arc<str>, &'static str)> {
+        [(&self.ledger, "own"), (&self.replicas, "replica")].into_iter().find_map(
+            |(ledger, source)| {
+                let ledger = ledger.lock();
+                ledger.find(service, stream).map(|version| (Arc::from(version), source))
+            },
+        )
+    }
+
+    /// Returns what all gateways have stored, by a read that begins now and also looks the stream up at
+    /// other gateways; `None` if that fails or doesn't end before the deadline.
+    async fn read(
+        &self,
+        service: &str,
+        stream: Option<StreamId>,
+        deadline: Instant,
+    ) -> Option<Arc<Stored>> {
+        if let Some(stream) = stream {
+            self.asked.lock().add(service, "", stream);
+        }
         let mut reading = self.reading.subscribe();
         let mut number = 0;
         self.wanted.send_modify(|wanted| {
@@ -226,9 +314,11 @@
         (ledger.versions(now), ledger.mixed_segments(now))
     }
 
-    /// Returns the replicated streams of other gateways, with their places in a ring.
-    pub(crate) fn replicas_to_store(&self, now: Duration) -> Vec<(u64, Segment)> {
-        let replicas = self.replicas.lock();
+    /// Returns the streams of other gateways that this one stores, with their places in a ring: those
+    /// that it has adopted, or all that were replicated here.
+    pub(crate) fn replicas_to_store(&self, has_all: bool, now: Duration) -> Vec<(u64, Segment)> {
+        let replicas = if has_all { &self.replicas } else { &self.adopted };
+        let replicas = replicas.lock();
         replicas.segments(now).map(|(place, segment)| (place, segment.clone())).collect()
     }
 
@@ -237,13 +327,49 @@
         self.replicas.lock().learn(streams, now);
     }
 
+    /// Records streams that another gateway has replicated and can't store, to store them for it.
+    pub(crate) fn adopt(&self, streams: &Segment, now: Duration) {
+        self.learn(streams, now);
+        self.adopted.lock().learn(streams, now);
+        self.changed.notify_one();
+    }
+
+    /// Records versions that other gateways may use.
+    pub(crate) fn learn_versions(&self, stored: &Stored, now: Duration) {
+        let mut ledger = self.ledger.lock();
+        let segments = stored.journals.iter().flat_map(|journal| &journal.segments);
+        for row in segments.flat_map(|segment| &segment.rows) {
+            ledger.announce(&row.service, &row.version, now);
+        }
+    }
+
+    /// Returns the versions of those streams of a segment that began here or were replicated here.
+    pub(crate) fn look_up(&self, asked: &Segment) -> Segment {
+        let mut found = Segment::default();
+        for row in &asked.rows {
+            for stream in &row.streams {
+                if let Some((version, _)) = self.known(&row.service, *stream) {
+                    found.add(&row.service, &version, *stream);
+                }
+            }
+        }
+        found
+    }
+
+    /// Removes and returns the streams that the next read looks up at other gateways.
+    pub(crate) fn take_asked(&self) -> Segment {
+        mem::take(&mut self.asked.lock())
+    }
+
     /// Returns the streams that began since a time and are to be replicated.
     pub(crate) fn recent_since(&self, since: Duration, now: Duration) -> Segment {
         self.ledger.lock().recent_since(since, now)
     }
 
-    /// Sets the versions that the store has of this gateway.
-    pub(crate) fn set_stored_versions(&self, versions: &Segment) {
+    /// Sets the versions that the store has of this gateway; the streams of services of which it has
+    /// all versions of others need not be recorded if there is one only.
+    pub(crate) fn set_stored_versions(&self, versions: &Segment, is_complete: bool) {
+        self.ledger.lock().set_unstored(!is_complete);
         let rows = versions.rows.iter();
         let rows = rows.map(|row| (row.service.clone(), row.version.clone()));
         *self.stored_versions.lock() = Arc::new(rows.collect());
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -7,6 +7,7 @@
 mod connections;
 mod exchange;
 mod fetch;
+mod finder;
 mod follower;
 mod journals;
 mod loads;
@@ -23,6 +24,7 @@
 pub(crate) use exchange::Exchange;
 pub(crate) use exchange::Own;
 pub(crate) use fetch::fetch;
+pub(crate) use finder::Finder;
 pub(crate) use follower::Follower;
 pub use loads::share_loads;
 pub use member::Member;
--- a/crates/gateway/src/peer/peers.rs
+++ b/crates/gateway/src/peer/peers.rs
@@ -36,6 +36,9 @@
 /// Most addresses of other peers in an answer, so that it stays small in a large fleet.
 const MAX_ADDRESSES: usize = 8;
 
+/// Most gateways at which a stream is looked up: all of a small fleet, the hubs of a large one.
+const MAX_WITNESSES: usize = 12;
+
 /// The other gateways, the local copy of the store's keys that answers their calls, and their
 /// loads.
 ///
@@ -189,6 +192,44 @@
         hubs.into_iter().map(|index| members[index].clone()).collect()
     }
 
+    /// Returns the gateways to which streams are replicated and at which they are looked up, the ones
+    /// that are asked first first: the hubs, and others where there is room. While no others are
+    /// registered, they are the configured addresses.
+    pub(crate) fn witnesses(&self) -> Vec<Member> {
+        let mut witnesses = self.relays(Duty::Loads);
+        witnesses.extend(self.hubs());
+        let members = self.members.lock().clone();
+        let failures = self.load_failures.lock();
+        let now = self.routing.now();
+        witnesses.extend(members.into_iter().filter(|member| failures.allows(&member.vm, now)));
+        drop(failures);
+        let mut seen: Vec<String> = vec![self.own.vm.clone()];
+        witnesses.retain(|member| match seen.binary_search(&member.vm) {
+            Ok(_) => false,
+            Err(index) => {
+                seen.insert(index, member.vm.clone());
+                true
+            }
+        });
+        if witnesses.is_empty() && self.members.lock().len() == 1 {
+            let others = self.seeds.iter().filter(|address| **address != self.own.address);
+            witnesses = others.map(|address| self.seed(*address)).collect();
+        }
+        witnesses.truncate(MAX_WITNESSES);
+        witnesses
+    }
+
+    /// Whether this gateway knows of no other one.
+    pub(crate) fn is_alone(&self) -> bool {
+        let has_seed = self.seeds.iter().any(|address| *address != self.own.address);
+        self.members.lock().len() == 1 && !has_seed
+    }
+
+    /// Returns a configured peer of which only the address is known.
+    fn seed(&self, address: SocketAddr) -> Member {
+        Member { vm: address.to_string(), address, capacity: 0, ..self.own.clone() }
+    }
+
     /// Records that a relay failed to do a duty.
     pub(crate) fn relay_failed(&self, duty: Duty, vm: &str) {
         self.failures(duty).lock().record(vm, self.routing.now());
@@ -316,7 +357,15 @@
         self.routing.origins().learn(streams, self.routing.now());
     }
 
+    fn adopt_streams(&self, streams: &Segment) {
+        self.routing.origins().adopt(streams, self.routing.now());
+    }
+
     fn streams(&self) -> Segment {
         self.routing.origins().recent_since(Duration::ZERO, self.routing.now())
     }
+
+    fn look_up_streams(&self, asked: &Segment) -> Segment {
+        self.routing.origins().look_up(asked)
+    }
 }
--- a/crates/gateway/src/peer/registration.rs
+++ b/crates/gateway/src/peer/registration.rs
@@ -58,6 +58,7 @@
 /// Keeps a gateway registered in the store and looks up the other gateways until cancelled.
 pub async fn register(store: &dyn Store, peers: &Peers, cancel: CancellationToken) {
     let registration = Registration { store, member: peers.own() };
+    peers.routing().origins().set_kept();
     let all = async {
         tokio::join!(
             registration.keep_renewed(peers),
--- a/crates/gateway/src/peer/replicator.rs
+++ b/crates/gateway/src/peer/replicator.rs
@@ -18,13 +18,16 @@
 /// Other hubs to which a hub replicates.
 const MAX_HUBS: usize = 2;
 
+/// Gateways that are asked next if all of these failed.
+const MAX_OTHERS: usize = 3;
+
 /// Replicates the streams of this gateway before their first events are sent. What only the store has
-/// may be lost together with this gateway, if the store comes back from a copy. See
-/// `docs/decisions/versions.md`.
+/// may be lost together with this gateway, if the store comes back from a copy; and while the store
+/// turns this gateway away, others have to store them. See `docs/decisions/versions.md`.
 pub(crate) struct Replicator<'a> {
     peers: &'a Peers,
     connections: Connections,
-    /// Time up to which streams have been sent.
+    /// Time up to which streams have been replicated.
     sent_until: Cell<Duration>,
 }
 
@@ -35,32 +38,54 @@
         Replicator { peers, connections, sent_until: Cell::default() }
     }
 
-    /// Replicates the streams that began since the last call: to the hub of this gateway or, if it
-    /// is a hub, to others.
-    pub(crate) async fn replicate(&self) {
+    /// Replicates the streams that began since the last call that succeeded: to the hub of this
+    /// gateway or, if it is a hub, to others; and to further gateways if all of these fail. Returns
+    /// whether one of them has the streams, or there is no other gateway.
+    pub(crate) async fn replicate(&self) -> bool {
+        if self.peers.is_alone() {
+            return true;
+        }
         let routing = self.peers.routing();
         let now = routing.now();
-        let streams = routing.origins().recent_since(self.sent_until.replace(now), now);
+        let streams = routing.origins().recent_since(self.sent_until.get(), now);
         if streams.rows.is_empty() {
-            return;
+            return true;
         }
-        let mut members = self.peers.relays(Duty::Loads);
-        members.truncate(1);
-        if members.is_empty() {
-            members = self.peers.hubs();
-            members.truncate(MAX_HUBS);
+        let witnesses = self.peers.witnesses();
+        let has_relay = !self.peers.relays(Duty::Loads).is_empty();
+        let first = witnesses.len().min(if has_relay { 1 } else { MAX_HUBS });
+        let (first, others) = witnesses.split_at(first);
+        let others = &others[..others.len().min(MAX_OTHERS)];
+        let is_done = self.send_all(first, &streams).await || self.send_all(others, &streams).await;
+        if is_done {
+            self.sent_until.set(now);
         }
-        join_all(members.iter().map(|member| self.send(member, &streams))).await;
+        is_done
     }
 
-    async fn send(&self, member: &Member, streams: &Segment) {
-        let call = async { self.connections.client(member).await?.replicate(streams).await };
+    /// Replicates streams to some gateways. Returns whether one of them has taken them.
+    async fn send_all(&self, members: &[Member], streams: &Segment) -> bool {
+        let sent = join_all(members.iter().map(|member| self.send(member, streams))).await;
+        sent.contains(&true)
+    }
+
+    async fn send(&self, member: &Member, streams: &Segment) -> bool {
+        let is_failing = self.peers.routing().origins().is_failing();
+        let call = async {
+            let client = self.connections.client(member).await?;
+            if is_failing && client.adopt(streams).await.is_ok() {
+                return Ok(());
+            }
+            // Earlier builds don't adopt streams.
+            client.replicate(streams).await
+        };
         let error = match timeout(CALL_TIMEOUT, call).await {
-            Ok(Ok(())) => return,
+            Ok(Ok(())) => return true,
             Ok(Err(error)) => error.to_string(),
             Err(_) => "it did not answer in time".to_owned(),
         };
         // The exchange of loads sends them again, and records whether the peer fails.
         log::debug!(peer = member.vm.as_str(); "new streams are not replicated: {error}");
+        false
     }
 }
--- a/crates/gateway/src/peer/streams.rs
+++ b/crates/gateway/src/peer/streams.rs
@@ -1,6 +1,7 @@
 //! Streams in the store, with the versions that began them, so that they are known at each gateway
 //! and outlive the processes of all.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,6 +19,8 @@
 use tokio::time::timeout;
 
 use crate::origins::Reading;
+use crate::origins::Stored;
+use crate::peer::Finder;
 use crate::peer::Peers;
 use crate::peer::Replicator;
 use crate::peer::Restores;
@@ -41,6 +44,9 @@
 /// Shortest interval between writes, for which the first events of streams are held back.
 const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(25);
 
+/// Time after which a write counts as failing, so that other gateways store the streams as well.
+const SLOW_WRITE: Duration = Duration::from_millis(200);
+
 /// Share of the writes that the store allows which all gateways may use together.
 const WRITE_SHARE: f64 = 0.5;
 
@@ -51,28 +57,36 @@
 /// the same time.
 const READ_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Reads what all gateways have stored each time that a request wants it.
+/// Reads what all gateways have stored each time that a request wants it, and looks up at other
+/// gateways what they have not.
 pub(crate) async fn keep_read(store: &dyn Store, peers: &Peers) {
     let origins = peers.routing().origins();
+    let finder = Finder::new(peers);
     let mut wanted = origins.wanted.subscribe();
     while wanted.changed().await.is_ok() {
         let number = *wanted.borrow_and_update();
-        let stored = match timeout(READ_TIMEOUT, store.list(PREFIX)).await {
-            Ok(Ok(entries)) => Some(Arc::new(journals::decode(&entries))),
-            Ok(Err(error)) => {
-                log::warn!("the streams of other gateways can't be read: {error}");
-                None
-            }
-            Err(_) => {
-                log::warn!("the streams of other gateways were not read in time");
-                None
-            }
-        };
-        origins.reading.send_replace(Reading { number, stored });
+        let asked = origins.take_asked();
+        let (stored, ()) = tokio::join!(read(store), finder.find(&asked));
+        origins.reading.send_replace(Reading { number, stored: stored.map(Arc::new) });
         sleep(READ_PAUSE).await;
     }
 }
 
+/// Reads what all gateways have stored; `None` if that fails or takes too long.
+async fn read(store: &dyn Store) -> Option<Stored> {
+    match timeout(READ_TIMEOUT, store.list(PREFIX)).await {
+        Ok(Ok(entries)) => Some(journals::decode(&entries)),
+        Ok(Err(error)) => {
+            log::warn!("the streams of other gateways can't be read: {error}");
+            None
+        }
+        Err(_) => {
+            log::warn!("the streams of other gateways were not read in time");
+            None
+        }
+    }
+}
+
 /// Stores the versions that this gateway may use, and the streams that it begins while there are
 /// several of them.
 pub(crate) async fn keep_written(store: &dyn Store, peers: &Peers) {
@@ -87,35 +101,52 @@
         lease: None,
         written: Vec::new(),
     };
+    let origins = peers.routing().origins();
+    let mut knows_others = false;
     loop {
         let routing = peers.routing();
-        let _ = timeout(IDLE_INTERVAL, routing.origins().changed.notified()).await;
+        let _ = timeout(IDLE_INTERVAL, origins.changed.notified()).await;
         if restores.has_restored() {
             // The copy may lack what was written, and its lease may be another gateway's.
             writer.set_restores(restores.known().unwrap_or_default(), routing.now());
         }
-        routing.origins().announce(&routing.endpoints(), routing.now());
-        let number = routing.origins().recorded();
-        let (versions, segments) = routing.origins().to_store(routing.now());
-        let replicas = match writer.is_restored(routing.now()) {
-            true => routing.origins().replicas_to_store(routing.now()),
-            false => Vec::new(),
-        };
+        origins.announce(&routing.endpoints(), routing.now());
+        if !knows_others && let Some(stored) = read(store).await {
+            // A process that starts late in a rollout knows only the newer version otherwise.
+            origins.learn_versions(&stored, routing.now());
+            knows_others = true;
+        }
+        let number = origins.recorded();
+        let (versions, segments) = origins.to_store(routing.now());
+        let replicas = origins.replicas_to_store(writer.is_restored(routing.now()), routing.now());
         if versions.rows.is_empty() {
             continue;
         }
-        match writer.write(&versions, &segments, &replicas).await {
+        let write = writer.write(&versions, &segments, &replicas);
+        let outcome = watch(write, || origins.set_failing(true)).await;
+        origins.set_failing(outcome.is_err());
+        origins.stored.set(number, outcome.is_ok());
+        match outcome {
             Ok(history) => {
                 writer.set_restores(history, routing.now());
-                routing.origins().set_stored_versions(&versions);
+                origins.set_stored_versions(&versions, knows_others);
             }
             Err(error) => log::info!("the streams of this gateway were not stored: {error}"),
         }
-        routing.origins().set_tried(number);
         sleep(write_interval(peers)).await;
     }
 }
 
+/// Waits for a write, and calls `on_slow` if it takes long.
+async fn watch<T>(write: impl Future<Output = T>, on_slow: impl FnOnce()) -> T {
+    let mut write = pin!(write);
+    if let Ok(outcome) = timeout(SLOW_WRITE, &mut write).await {
+        return outcome;
+    }
+    on_slow();
+    write.await
+}
+
 /// Replicates the streams that this gateway begins, as often as it stores them. A slow store doesn't
 /// delay that.
 pub(crate) async fn keep_replicated(peers: &Peers) {
@@ -124,8 +155,12 @@
     loop {
         origins.has_recent.notified().await;
         let number = origins.recorded();
-        replicator.replicate().await;
-        origins.set_replicated(number);
+        let is_done = replicator.replicate().await;
+        origins.replicated.set(number, is_done);
+        if !is_done {
+            // The streams wait for another attempt.
+            origins.has_recent.notify_one();
+        }
         sleep(write_interval(peers)).await;
     }
 }
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -149,6 +149,16 @@
     .increment(1);
 }
 
+/// Records that a stream was cut before its first event, as neither the store nor another gateway could
+/// record which endpoint began it.
+pub(crate) fn unsecured(endpoint: &Endpoint) {
+    log::warn!(endpoint = &*endpoint.id, version = &*endpoint.version;
+        "the version of a new stream can't be recorded elsewhere");
+    counter!("lycheeknot_gateway_unsecured_streams_total",
+        "service" => endpoint.service.to_string())
+    .increment(1);
+}
+
 /// Records that the version that began a stream isn't known, with what the store has of it.
 pub(crate) fn unknown_version(service: &str, reason: &'static str, stored: &Stored) {
     let incomplete = stored.journals.iter().filter(|journal| !journal.is_complete).count();
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -44,6 +44,8 @@
     UnknownVersion,
     /// no endpoint of the version that began the stream takes work; it did not run, begin anew
     NoVersion,
+    /// the software version of new streams can't be recorded now; it did not run, come back later
+    Unsecured(Duration),
     /// an endpoint broke off; it may have run
     Unknown,
     /// no answer came in time; it may have run
@@ -84,6 +86,7 @@
             Refusal::Quarantined(_) => "quarantined",
             Refusal::UnknownVersion => "unknown_version",
             Refusal::NoVersion => "no_version",
+            Refusal::Unsecured(_) => "unsecured",
             Refusal::Unknown => "unknown",
             Refusal::Late => "late",
         }
@@ -102,7 +105,8 @@
             | Refusal::Evacuated
             | Refusal::Quarantined(_)
             | Refusal::UnknownVersion
-            | Refusal::NoVersion => StatusCode::SERVICE_UNAVAILABLE,
+            | Refusal::NoVersion
+            | Refusal::Unsecured(_) => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::NoRoute => StatusCode::NOT_FOUND,
             Refusal::NoAccount => StatusCode::UNAUTHORIZED,
             Refusal::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
@@ -119,7 +123,8 @@
             Refusal::Limited(left)
             | Refusal::Cold(left)
             | Refusal::Paused(left)
-            | Refusal::Quarantined(left) => left,
+            | Refusal::Quarantined(left)
+            | Refusal::Unsecured(left) => left,
             Refusal::UnknownVersion | Refusal::NoVersion => VERSION_RETRY_DELAY,
             Refusal::Evacuated => EVACUATION_RETRY_DELAY,
             Refusal::Memory => MEMORY_RETRY_DELAY,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -110,7 +110,12 @@
                     Ok(events) if events.is_empty() => continue,
                     Ok(events) => {
                         self.record_first_event();
-                        self.record_begin().await;
+                        if !self.record_begin().await {
+                            self.source = None;
+                            self.log("unsecured");
+                            let cause = "its version could not be recorded elsewhere";
+                            return Some(Err(io::Error::other(cause)));
+                        }
                         return Some(Ok(events));
                     }
                     Err(error) => error.to_string(),
@@ -138,17 +143,18 @@
     }
 
     /// Records the version that began the stream before its first events are sent, so that it goes
-    /// on nowhere else.
-    async fn record_begin(&mut self) {
-        let Some(source) = self.source.as_ref().filter(|_| !self.has_begun) else { return };
+    /// on nowhere else. Returns whether they may be sent.
+    async fn record_begin(&mut self) -> bool {
+        let Some(source) = self.source.as_ref().filter(|_| !self.has_begun) else { return true };
         self.has_begun = true;
         self.attempts.version = Some(Arc::clone(&source.endpoint.version));
-        if self.request.is_resumable()
-            && let Some(stream) = self.request.stream_id()
-        {
-            let routing = &self.worker.context.routing;
-            routing.origins().record(&source.endpoint, stream, routing.now()).await;
-        }
+        let Some(stream) = self.request.stream_id().filter(|_| self.request.is_resumable()) else {
+            return true;
+        };
+        let routing = &self.worker.context.routing;
+        let is_known = routing.origins().record(&source.endpoint, stream, routing.now()).await;
+        // The version of a stream that is taken up was found, so others can find it as well.
+        is_known || self.request.metadata.last_event.is_some()
     }
 
     /// Records how long the endpoint took to send the first event.
--- a/crates/gateway/tests/sessions/main.rs
+++ b/crates/gateway/tests/sessions/main.rs
@@ -21,4 +21,5 @@
 mod streams;
 mod support;
 mod unframed;
+mod unstored;
 mod versions;
--- a/crates/gateway/tests/sessions/versions.rs
+++ b/crates/gateway/tests/sessions/versions.rs
@@ -320,20 +320,20 @@
 }
 
 /// A gateway with a store.
-struct Gateway {
-    fixture: Fixture,
-    peers: Arc<Peers>,
+pub struct Gateway {
+    pub fixture: Fixture,
+    pub peers: Arc<Peers>,
     cancel: CancellationToken,
 }
 
 impl Gateway {
     /// Starts a gateway before endpoints of two versions, and waits until it has stored these.
-    fn start(store: &Fake, old: &[Endpoint], new: &[Endpoint]) -> Gateway {
+    pub fn start(store: &Fake, old: &[Endpoint], new: &[Endpoint]) -> Gateway {
         Gateway::start_among(store, old, new, &[member("g1", 10)], 0)
     }
 
     /// Starts the one of several gateways that is at this place of the members.
-    fn start_among(
+    pub fn start_among(
         store: &Fake,
         old: &[Endpoint],
         new: &[Endpoint],
@@ -358,14 +358,21 @@
         Gateway { fixture, peers, cancel }
     }
 
+    /// Sets which gateways it takes for registered. All but the last one are others.
+    pub fn set_members(&self, members: &[Member]) {
+        let others = &members[..members.len() - 1];
+        let addresses = others.iter().map(|member| member.address).collect();
+        self.peers.set_registered(addresses, others.to_vec());
+    }
+
     /// Ends it; what it has stored stays, as its lease has not ended.
-    fn kill(self) {
+    pub fn kill(self) {
         self.cancel.cancel();
     }
 }
 
 /// A stream that goes on after the first event.
-fn rest() -> Vec<Step> {
+pub fn rest() -> Vec<Step> {
     vec![stream_start(), event(2), stream_end()]
 }
 
@@ -375,12 +382,12 @@
 }
 
 /// A request for the same stream, from a route that allows one attempt.
-fn once(id: &str) -> String {
+pub fn once(id: &str) -> String {
     request("single", id, "")
 }
 
 /// A request of a client that takes up the stream of another request after its first event.
-fn take_up(id: &str, begun: &str) -> String {
+pub fn take_up(id: &str, begun: &str) -> String {
     request("tell", id, &format!("Last-Event-Id: 1\r\nResumes: {begun}\r\n"))
 }
 
--- a/crates/policy/src/origin/ledger.rs
+++ b/crates/policy/src/origin/ledger.rs
@@ -27,14 +27,28 @@
 /// The versions that were announced lately, and the streams that this gateway has begun.
 #[derive(Debug, Clone, Default)]
 pub struct Ledger {
-    /// Sorted by service and version, with the time of the last announcement.
-    versions: Vec<(String, String, Duration)>,
+    /// Sorted by service and version.
+    versions: Vec<Announced>,
+    /// Whether the store has no versions of this gateway, so that it has to record the streams of all
+    /// services.
+    is_unstored: bool,
     /// With their numbers, the oldest one first.
     segments: Vec<(u64, Segment)>,
     /// Streams that are being replicated, with the time at which that began, in that order.
     recent: Vec<(Duration, Stream)>,
 }
 
+/// A version of a service that was announced lately.
+#[derive(Debug, Clone)]
+struct Announced {
+    service: String,
+    version: String,
+    /// Time of the first announcement.
+    first: Duration,
+    /// Time of the last announcement.
+    last: Duration,
+}
+
 /// A stream of a version of a service.
 #[derive(Debug, Clone)]
 struct Stream {
@@ -46,21 +60,27 @@
 impl Ledger {
     /// Records that a version of a service is announced.
     pub fn announce(&mut self, service: &str, version: &str, now: Duration) {
-        let find = |row: &(String, String, Duration)| {
-            (row.0.as_str(), row.1.as_str()).cmp(&(service, version))
-        };
+        let key = (service, version);
+        let find = |row: &Announced| (row.service.as_str(), row.version.as_str()).cmp(&key);
         match self.versions.binary_search_by(find) {
-            Ok(index) => self.versions[index].2 = now,
+            Ok(index) => self.versions[index].last = now,
             Err(index) => {
                 let was_mixed = self.is_mixed(service, now);
-                self.versions.insert(index, (service.to_owned(), version.to_owned(), now));
-                if !was_mixed && self.is_mixed(service, now) {
-                    self.replicate_all(service, now);
+                let (service, version) = (service.to_owned(), version.to_owned());
+                let announced = Announced { service, version, first: now, last: now };
+                self.versions.insert(index, announced);
+                if !was_mixed && self.is_mixed(key.0, now) {
+                    self.replicate_all(key.0, now);
                 }
             }
         }
     }
 
+    /// Sets whether the store has no versions of this gateway.
+    pub fn set_unstored(&mut self, is_unstored: bool) {
+        self.is_unstored = is_unstored;
+    }
+
     /// Replicates all streams of a service, which until now had a single version.
     fn replicate_all(&mut self, service: &str, now: Duration) {
         let rows = self.segments.iter().flat_map(|(_, segment)| &segment.rows);
@@ -73,14 +93,14 @@
         }
     }
 
-    /// Returns the streams of services with several versions that began since a time and are still
-    /// to be replicated to other gateways.
+    /// Returns the streams that have to be recorded, began since a time and are still to be replicated
+    /// to other gateways.
     pub fn recent_since(&self, since: Duration, now: Duration) -> Segment {
         let mut segment = Segment::default();
         let since = since.max(now.saturating_sub(REPLICATION_TIME));
         let recent = self.recent.iter().rev().filter(|(at, _)| *at >= since);
         for (_, Stream { service, version, id }) in recent.take(MAX_REPLICATED) {
-            if self.is_mixed(service, now) {
+            if self.is_recorded(service, now) {
                 segment.add(service, version, *id);
             }
         }
@@ -129,25 +149,37 @@
 
     /// Returns the versions that may have begun streams lately.
     pub fn versions(&self, now: Duration) -> Segment {
+        self.versions_until(now, now)
+    }
+
+    /// Returns those of the versions in use that were first announced until a time.
+    pub fn versions_until(&self, until: Duration, now: Duration) -> Segment {
         let mut segment = Segment::default();
-        for (service, version, _) in self.versions.iter().filter(|row| !is_over(row.2, now)) {
-            segment.row(service, version);
-        }
+        let rows = self.versions.iter().filter(|row| !row.is_over(now) && row.first <= until);
+        rows.for_each(|row| {
+            segment.row(&row.service, &row.version);
+        });
         segment
     }
 
-    /// Whether a service has had several versions lately, so that its streams are stored.
-    pub fn is_mixed(&self, service: &str, now: Duration) -> bool {
-        let rows = self.versions.iter().filter(|row| row.0 == service && !is_over(row.2, now));
+    /// Whether a service has had several versions lately.
+    fn is_mixed(&self, service: &str, now: Duration) -> bool {
+        let rows = self.versions.iter().filter(|row| row.service == service && !row.is_over(now));
         rows.count() > 1
     }
 
-    /// Returns the streams of services with several versions, in segments with their places in a
-    /// ring. The others need not be stored: all their streams have the same version.
+    /// Whether each stream of a service has to be recorded elsewhere before its first event is sent:
+    /// others can't tell its version by the versions that they know of this gateway.
+    pub fn is_recorded(&self, service: &str, now: Duration) -> bool {
+        self.is_unstored || self.is_mixed(service, now)
+    }
+
+    /// Returns the streams that have to be recorded, in segments with their places in a ring. The others
+    /// need not be stored: all their streams have the same version.
     pub fn mixed_segments(&self, now: Duration) -> Vec<(u64, Segment)> {
-        let is_mixed = |row: &&Row| self.is_mixed(&row.service, now);
+        let is_recorded = |row: &&Row| self.is_recorded(&row.service, now);
         let mixed = self.segments(now).map(|(place, segment)| {
-            let rows = segment.rows.iter().filter(is_mixed).cloned().collect();
+            let rows = segment.rows.iter().filter(is_recorded).cloned().collect();
             (place, Segment { rows })
         });
         mixed.filter(|(_, segment)| !segment.rows.is_empty()).collect()
@@ -164,14 +196,16 @@
     fn forget(&mut self, now: Duration) {
         let oldest = number(now).saturating_sub(SEGMENTS - 1);
         self.segments.retain(|(number, _)| *number >= oldest);
-        self.versions.retain(|(_, _, at)| !is_over(*at, now));
+        self.versions.retain(|row| !row.is_over(now));
         self.recent.retain(|(at, _)| now.saturating_sub(*at) <= REPLICATION_TIME);
     }
 }
 
-/// Whether a version that was last announced at this time is no longer in use.
-fn is_over(at: Duration, now: Duration) -> bool {
-    now.saturating_sub(at) > VERSION_TTL
+impl Announced {
+    /// Whether it is no longer in use.
+    fn is_over(&self, now: Duration) -> bool {
+        now.saturating_sub(self.last) > VERSION_TTL
+    }
 }
 
 /// Returns the number of the segment of a time.
--- a/crates/policy/src/origin/segment.rs
+++ b/crates/policy/src/origin/segment.rs
@@ -37,7 +37,7 @@
     }
 
     /// Adds a stream that began at a version of a service.
-    pub(crate) fn add(&mut self, service: &str, version: &str, stream: StreamId) {
+    pub fn add(&mut self, service: &str, version: &str, stream: StreamId) {
         self.row(service, version).streams.push(stream);
     }
 
--- a/crates/rpc/src/view.rs
+++ b/crates/rpc/src/view.rs
@@ -185,8 +185,15 @@
     /// Records streams that a peer replicates.
     fn learn_streams(&self, streams: &Segment);
 
+    /// Records streams that a peer replicates and can't store, so that this process stores them.
+    fn adopt_streams(&self, streams: &Segment);
+
     /// Returns the streams that this process replicates.
     fn streams(&self) -> Segment;
+
+    /// Returns those of the streams whose versions this process knows; the versions of `asked` don't
+    /// count.
+    fn look_up_streams(&self, asked: &Segment) -> Segment;
 }
 
 /// The JSON-RPC interface; messages are encoded as those of control calls.
@@ -212,6 +219,15 @@
     /// Takes an encoded [`Segment`] of streams that the caller replicates.
     #[method(name = "replicate")]
     async fn replicate(&self, streams: String) -> RpcResult<()>;
+
+    /// Takes an encoded [`Segment`] of streams that the caller replicates and can't store.
+    #[method(name = "adopt")]
+    async fn adopt(&self, streams: String) -> RpcResult<()>;
+
+    /// Returns an encoded [`Segment`] with those streams of an encoded one whose versions the called
+    /// process knows.
+    #[method(name = "look_up")]
+    async fn look_up(&self, asked: String) -> RpcResult<String>;
 }
 
 /// Implements the interface with a source.
@@ -258,6 +274,19 @@
         self.source.learn_streams(&streams);
         Ok(())
     }
+
+    async fn adopt(&self, streams: String) -> RpcResult<()> {
+        let streams: Segment = read(&streams)?;
+        check_streams(&streams)?;
+        self.source.adopt_streams(&streams);
+        Ok(())
+    }
+
+    async fn look_up(&self, asked: String) -> RpcResult<String> {
+        let asked: Segment = read(&asked)?;
+        check_streams(&asked)?;
+        Ok(packet::encode(&self.source.look_up_streams(&asked)))
+    }
 }
 
 /// Checks the number of streams that a peer replicates.
--- a/crates/rpc/src/view/client.rs
+++ b/crates/rpc/src/view/client.rs
@@ -131,6 +131,36 @@
         called.map_err(|error| pool::into_error(self.peer, error))
     }
 
+    /// Replicates streams to the peer that this process can't store, so that the peer does. The caller
+    /// limits the time.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Client::replicate`].
+    pub async fn adopt(&self, streams: &Segment) -> Result<(), Error> {
+        let called = self.client.adopt(packet::encode(streams)).await;
+        called.map_err(|error| pool::into_error(self.peer, error))
+    }
+
+    /// Returns those of the streams whose versions the peer knows.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unreachable`] if no answer came within `answer_timeout`, and [`Error::Refused`] if the
+    /// peer refused the call, as builds without it do, or its answer is malformed.
+    pub async fn look_up(
+        &self,
+        asked: &Segment,
+        answer_timeout: Duration,
+    ) -> Result<Segment, Error> {
+        let call = self.client.look_up(packet::encode(asked));
+        let found: Segment = self.decode(time::timeout(answer_timeout, call).await)?;
+        if !found.is_valid() {
+            return Err(Error::Refused(self.peer, "the streams are too many".to_owned()));
+        }
+        Ok(found)
+    }
+
     /// Decodes a message of the exchange of loads.
     fn message<T, U>(&self, answer: &str) -> Result<Message<T, U>, Error>
     where
--- a/crates/rpc/tests/view.rs
+++ b/crates/rpc/tests/view.rs
@@ -48,6 +48,7 @@
 struct Script {
     learned: Mutex<Digest>,
     streams: Mutex<Segment>,
+    adopted: Mutex<Segment>,
 }
 
 impl Source for Script {
@@ -99,9 +100,17 @@
         *self.streams.lock() = streams.clone();
     }
 
+    fn adopt_streams(&self, streams: &Segment) {
+        self.adopted.lock().clone_from(streams);
+    }
+
     fn streams(&self) -> Segment {
         self.streams.lock().clone()
     }
+
+    fn look_up_streams(&self, _: &Segment) -> Segment {
+        self.adopted.lock().clone()
+    }
 }
 
 /// Returns a sheet whose rows are not in order, as only a broken peer sends it.
@@ -294,6 +303,10 @@
     assert_eq!(client.swap(&told, ANSWER_TIMEOUT).await, Ok(told));
     assert_eq!(client.replicate(&streams(5)).await, Ok(()));
     assert!(client.replicate(&streams(8_193)).await.is_err());
+    assert_eq!(client.adopt(&streams(4)).await, Ok(()));
+    assert!(client.adopt(&streams(8_193)).await.is_err());
+    assert_eq!(client.look_up(&streams(9), ANSWER_TIMEOUT).await, Ok(streams(4)));
+    assert!(client.look_up(&streams(8_193), ANSWER_TIMEOUT).await.is_err());
     let too_many = Message { streams: streams(8_193), ..message("valid", 1) };
     assert!(is_refused(&client.report(&too_many, MAX_WAIT).await));
     assert!(is_refused(&client.swap(&too_many, MAX_WAIT).await));
