Have streams adopted whose write hangs, and none begin unseen at a lone gateway

What callers saw: nothing yet; found when going through the states of the fault before. A gateway whose write got no answer had its streams replicated to the hub's memory only, so they were lost with both. And a gateway that knows no other one began streams at a version that the store does not have of it, which its successor takes for the other one.

A lone gateway goes on without a replica only at versions that the store has.

Test: unstored::a_stream_of_a_gateway_whose_write_hangs_goes_on_at_the_other_version failed before (503 to the take-up) and passes; 5 of 5 tests of that file pass. The lone gateway has no test of its own.

--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -13,6 +13,7 @@
 use policy::origin::Ledger;
 use policy::origin::Origin;
 use policy::origin::Outlook;
+use policy::origin::Row;
 use policy::origin::Segment;
 use policy::origin::StreamId;
 use route::Endpoint;
@@ -197,9 +198,12 @@
         self.ledger.lock().set_unstored(true);
     }
 
-    /// Sets whether the last write of streams failed, or takes long.
+    /// Sets whether the last write of streams failed, or takes long. If so, those that were replicated
+    /// lately are replicated once more, as others have to store them.
     pub(crate) fn set_failing(&self, is_failing: bool) {
-        self.is_failing.store(is_failing, Ordering::SeqCst);
+        if !self.is_failing.swap(is_failing, Ordering::SeqCst) && is_failing {
+            self.has_recent.notify_one();
+        }
     }
 
     /// Whether the last write of streams failed, or takes long, so that others have to store them.
@@ -375,6 +379,18 @@
         *self.stored_versions.lock() = Arc::new(rows.collect());
     }
 
+    /// Whether the store has the versions of all streams of a segment of this gateway. Those of streams
+    /// that it lacks are unknown then, and not taken for those of another version.
+    pub(crate) fn has_stored(&self, streams: &Segment) -> bool {
+        let stored = self.stored_versions();
+        let is_stored = |row: &Row| {
+            let key = (row.service.as_str(), row.version.as_str());
+            let find = |other: &(String, String)| (other.0.as_str(), other.1.as_str()).cmp(&key);
+            stored.binary_search_by(find).is_ok()
+        };
+        streams.rows.iter().all(is_stored)
+    }
+
     /// Returns the versions that the store has of this gateway, sorted by service and version. New
     /// streams begin there: to other gateways it looks as if this one used no other version.
     pub(crate) fn stored_versions(&self) -> Arc<Vec<(String, String)>> {
--- a/crates/gateway/src/peer/replicator.rs
+++ b/crates/gateway/src/peer/replicator.rs
@@ -29,48 +29,55 @@
     connections: Connections,
     /// Time up to which streams have been replicated.
     sent_until: Cell<Duration>,
+    /// The same, to gateways that store them; zero while this gateway stores its streams itself.
+    adopted_until: Cell<Duration>,
 }
 
 impl Replicator<'_> {
     /// Creates a value that has sent nothing yet.
     pub(crate) fn new(peers: &Peers) -> Replicator<'_> {
         let connections = Connections::new(CALL_TIMEOUT);
-        Replicator { peers, connections, sent_until: Cell::default() }
+        let (sent_until, adopted_until) = (Cell::default(), Cell::default());
+        Replicator { peers, connections, sent_until, adopted_until }
     }
 
     /// Replicates the streams that began since the last call that succeeded: to the hub of this
     /// gateway or, if it is a hub, to others; and to further gateways if all of these fail. Returns
-    /// whether one of them has the streams, or there is no other gateway.
+    /// whether one of them has the streams, or there is no other gateway and the store has the versions.
     pub(crate) async fn replicate(&self) -> bool {
-        if self.peers.is_alone() {
-            return true;
-        }
         let routing = self.peers.routing();
         let now = routing.now();
-        let streams = routing.origins().recent_since(self.sent_until.get(), now);
+        let is_failing = routing.origins().is_failing();
+        let sent_until = if is_failing { &self.adopted_until } else { &self.sent_until };
+        let streams = routing.origins().recent_since(sent_until.get(), now);
         if streams.rows.is_empty() {
             return true;
         }
+        if self.peers.is_alone() {
+            return routing.origins().has_stored(&streams);
+        }
         let witnesses = self.peers.witnesses();
         let has_relay = !self.peers.relays(Duty::Loads).is_empty();
         let first = witnesses.len().min(if has_relay { 1 } else { MAX_HUBS });
         let (first, others) = witnesses.split_at(first);
         let others = &others[..others.len().min(MAX_OTHERS)];
-        let is_done = self.send_all(first, &streams).await || self.send_all(others, &streams).await;
+        let is_done = self.send_all(first, &streams, is_failing).await
+            || self.send_all(others, &streams, is_failing).await;
         if is_done {
             self.sent_until.set(now);
+            self.adopted_until.set(if is_failing { now } else { Duration::ZERO });
         }
         is_done
     }
 
-    /// Replicates streams to some gateways. Returns whether one of them has taken them.
-    async fn send_all(&self, members: &[Member], streams: &Segment) -> bool {
-        let sent = join_all(members.iter().map(|member| self.send(member, streams))).await;
-        sent.contains(&true)
+    /// Replicates streams to some gateways, to store them if this one can't. Returns whether one of them
+    /// has taken them.
+    async fn send_all(&self, members: &[Member], streams: &Segment, is_failing: bool) -> bool {
+        let sent = members.iter().map(|member| self.send(member, streams, is_failing));
+        join_all(sent).await.contains(&true)
     }
 
-    async fn send(&self, member: &Member, streams: &Segment) -> bool {
-        let is_failing = self.peers.routing().origins().is_failing();
+    async fn send(&self, member: &Member, streams: &Segment, is_failing: bool) -> bool {
         let call = async {
             let client = self.connections.client(member).await?;
             if is_failing && client.adopt(streams).await.is_ok() {
--- a/crates/gateway/tests/sessions/unstored.rs
+++ b/crates/gateway/tests/sessions/unstored.rs
@@ -111,6 +111,31 @@
     gateway.kill();
 }
 
+/// Guards against ORDER: a store that answers no write is no reason to send the first event, and other
+/// gateways store the stream as if the write had failed.
+#[test]
+fn a_stream_of_a_gateway_whose_write_hangs_goes_on_at_the_other_version() {
+    let (old, new) = endpoints();
+    let (store, members) = (Fake::default(), members());
+    let hub = Gateway::start_among(&store, &old, &new, &members, 0);
+    let silent_store = Fake { is_silent: Arc::default(), ..store.clone() };
+    let silent = Gateway::start_among(&silent_store, &old, &[], &members, 2);
+    silent_store.is_silent.store(true, Ordering::SeqCst);
+    hear(&silent, &old, &new);
+    thread::sleep(Duration::from_millis(300));
+    let begun = Client::connect(silent.fixture.address).exchange(&once("r1"));
+    assert!(begun.ends_with("data: e1\n\n\n(closed)\n"), "{begun}");
+    thread::sleep(Duration::from_millis(300));
+    silent.kill();
+    hub.kill();
+    let other = Gateway::start_among(&store, &old, &new, &members[1..2], 0);
+    let of_old = seen(&old);
+    let response = Client::connect(other.fixture.address).exchange(&take_up("s1", "r1"));
+    assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
+    assert_eq!(seen(&old), of_old);
+    other.kill();
+}
+
 /// Guards against streams that can't be taken up: a process that starts late in a rollout knows only the
 /// newer version, while the journal of one that has ended names only the older one.
 #[test]
--- a/crates/gateway/tests/support/store.rs
+++ b/crates/gateway/tests/support/store.rs
@@ -26,6 +26,8 @@
     pub list_time: Duration,
     /// Whether it rejects writes.
     pub is_read_only: Arc<AtomicBool>,
+    /// Whether it answers no writes.
+    pub is_silent: Arc<AtomicBool>,
     /// Whether it rejects reads.
     pub is_unreadable: Arc<AtomicBool>,
     /// How often it has come back from a copy.
@@ -62,6 +64,9 @@
         if self.is_read_only.load(Ordering::SeqCst) {
             return async { Err(Error::Down("read only".to_owned())) }.boxed_local();
         }
+        if self.is_silent.load(Ordering::SeqCst) {
+            return std::future::pending().boxed_local();
+        }
         let mut entries = self.entries.lock();
         let exists = |key: &str| entries.iter().any(|entry| entry.key == key);
         if write.conditions.iter().any(|condition| exists(&condition.key)) {
