Check what is kept in the store as soon as it answers again after it was away

And a process that ends in the outage can't write anything again, though the others know which versions were in use.

Others aren't looked up for three seconds after that. What was announced before a loss stands for lost journals. This works for each way in which a lease may end during an outage, as the store itself is asked, and doesn't rest on what the gateway believes.

The stand-in of the store ends leases on demand.

--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -11,12 +11,14 @@
 use policy::origin;
 use policy::origin::Journal;
 use policy::origin::Ledger;
+use policy::origin::Loss;
 use policy::origin::Origin;
 use policy::origin::Outlook;
 use policy::origin::Row;
 use policy::origin::Segment;
 use policy::origin::StreamId;
 use route::Endpoint;
+use services::store::Entry;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -74,6 +76,12 @@
     is_failing: AtomicBool,
     /// Until this time streams that have to be recorded don't begin here.
     unsecured_until: Mutex<Duration>,
+    /// Time at which the store had last lost journals.
+    lost_at: Mutex<Option<Duration>>,
+    /// Common prefix of the keys of this process, once it has written them.
+    journal: Mutex<Option<String>>,
+    /// Whether the store may have lost the keys of this process.
+    is_journal_doubtful: AtomicBool,
     /// Streams whose versions the next read looks up at other gateways. Their rows have no versions.
     asked: Mutex<Segment>,
     /// Signals that there is something to store.
@@ -117,6 +125,9 @@
             is_kept: AtomicBool::default(),
             is_failing: AtomicBool::default(),
             unsecured_until: Mutex::default(),
+            lost_at: Mutex::default(),
+            journal: Mutex::default(),
+            is_journal_doubtful: AtomicBool::default(),
             asked: Mutex::default(),
             changed: Notify::new(),
             has_recent: Notify::new(),
@@ -305,11 +316,48 @@
     /// Returns what this gateway itself knows of versions, to go with what was stored when the store
     /// had come back from a copy this often.
     fn outlook(&self, restores: u64, history: &History, now: Duration) -> Outlook {
-        let versions = self.ledger.lock().versions(now);
+        let lost_at = *self.lost_at.lock();
+        let ledger = self.ledger.lock();
+        let versions = ledger.versions(now);
+        let loss = lost_at.map(|at| Loss {
+            age: now.saturating_sub(at),
+            versions: ledger.versions_until(at + Loss::SETTLE_TIME, now),
+        });
         // The endpoints may not have been read since the last restore.
         let is_same = history.restores == restores;
         let age = if is_same { now.saturating_sub(history.since) } else { Duration::ZERO };
-        Outlook { versions, age, is_first: is_same && history.is_first }
+        let loss = loss.filter(|loss| loss.age < Loss::MAX_AGE);
+        Outlook { versions, age, is_first: is_same && history.is_first, loss }
+    }
+
+    /// Records that the store has lost journals. All streams have to be recorded until it has that of this
+    /// gateway again.
+    pub(crate) fn set_lost(&self, now: Duration) {
+        log::warn!("the store has lost the streams of this gateway; they are written again");
+        *self.lost_at.lock() = Some(now);
+        *self.stored_versions.lock() = Arc::default();
+        self.ledger.lock().set_unstored(true);
+    }
+
+    /// Records the common prefix of the keys of this process, which it has written.
+    pub(crate) fn set_journal(&self, prefix: &str) {
+        *self.journal.lock() = Some(prefix.to_owned());
+    }
+
+    /// Checks whether the keys of this process are among those that the store has, and has the task
+    /// that writes them check its lease if they are not.
+    pub(crate) fn check_journal(&self, entries: &[Entry]) {
+        let journal = self.journal.lock().clone();
+        let has_key = |prefix: String| entries.iter().any(|entry| entry.key.starts_with(&prefix));
+        if journal.is_some_and(|prefix| !has_key(prefix)) {
+            self.is_journal_doubtful.store(true, Ordering::SeqCst);
+            self.changed.notify_one();
+        }
+    }
+
+    /// Whether the store may have lost the keys of this process since the last call.
+    pub(crate) fn take_doubt(&self) -> bool {
+        self.is_journal_doubtful.swap(false, Ordering::SeqCst)
     }
 
     /// Returns what is to be stored: the versions, and the segments with their places in a ring.
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -17,6 +17,7 @@
 mod registration;
 mod replicator;
 mod restores;
+mod returns;
 mod stored;
 mod streams;
 
@@ -33,3 +34,4 @@
 pub use registration::register;
 pub(crate) use replicator::Replicator;
 pub(crate) use restores::Restores;
+pub(crate) use returns::Returns;
--- a/crates/gateway/src/peer/peers.rs
+++ b/crates/gateway/src/peer/peers.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use futures_util::FutureExt;
@@ -63,6 +65,10 @@
     changed: watch::Sender<()>,
     /// Number of restores of the store that this gateway knows of; `None` before its first read.
     restores: watch::Sender<Option<u64>>,
+    /// Whether the store is away, as far as this gateway or its relay knows.
+    is_store_lost: AtomicBool,
+    /// Number of times that the store has answered again after it was away.
+    returns: watch::Sender<u64>,
     routing: Arc<Routing>,
     /// Writes per second that the store allows to all gateways together.
     writes_per_s: f64,
@@ -91,6 +97,8 @@
             exchange: Mutex::new(Exchange::new(&own.vm, incarnation)),
             changed: watch::Sender::default(),
             restores: watch::Sender::default(),
+            is_store_lost: AtomicBool::default(),
+            returns: watch::Sender::default(),
             own,
             routing,
             writes_per_s: DEFAULT_WRITES_PER_S,
@@ -242,11 +250,14 @@
 
     /// Changes the local copy of the store's keys, and answers peers that wait for changes.
     pub(crate) fn update_mirror(&self, change: impl FnOnce(&mut Mirror)) {
-        let restores = {
+        let (restores, is_lost) = {
             let mut mirror = self.mirror.lock();
             change(&mut mirror);
-            mirror.restores()
+            (mirror.restores(), !mirror.lost().is_empty())
         };
+        if self.is_store_lost.swap(is_lost, Ordering::SeqCst) && !is_lost {
+            self.set_returned();
+        }
         self.changed.send_replace(());
         self.restores.send_if_modified(|known| {
             let is_new = restores > *known;
@@ -255,6 +266,27 @@
         });
     }
 
+    /// Whether the store is away, as far as this gateway or its relay knows.
+    pub(crate) fn is_store_lost(&self) -> bool {
+        self.is_store_lost.load(Ordering::SeqCst)
+    }
+
+    /// Records that a relay has lost the store. That it answers again shows with the next changes.
+    pub(crate) fn set_store_lost(&self) {
+        self.is_store_lost.store(true, Ordering::SeqCst);
+    }
+
+    /// Has all tasks that keep keys in the store check whether it still has them.
+    pub(crate) fn set_returned(&self) {
+        self.returns.send_modify(|returns| *returns += 1);
+        self.routing.origins().changed.notify_one();
+    }
+
+    /// Subscribes to the number of times that the store has answered again after it was away.
+    pub(crate) fn subscribe_returns(&self) -> watch::Receiver<u64> {
+        self.returns.subscribe()
+    }
+
     /// Subscribes to the number of restores of the store that this gateway knows of.
     pub(crate) fn subscribe_restores(&self) -> watch::Receiver<Option<u64>> {
         self.restores.subscribe()
--- a/crates/gateway/src/peer/registration.rs
+++ b/crates/gateway/src/peer/registration.rs
@@ -17,6 +17,7 @@
 use crate::peer::Member;
 use crate::peer::Peers;
 use crate::peer::Restores;
+use crate::peer::Returns;
 use crate::peer::stored;
 use crate::peer::streams;
 
@@ -40,12 +41,13 @@
 /// Interval between attempts to register while they fail.
 const RETRY_INTERVAL: Duration = Duration::from_secs(3);
 
-/// Time over which gateways spread their registrations after the store has come back from a copy.
-const RESTORE_SPREAD: Duration = Duration::from_millis(1_000);
+/// Time over which gateways spread their registrations after the store was away, or has come back from a
+/// copy.
+const RETURN_SPREAD: Duration = Duration::from_millis(1_000);
 
-/// Pause before the next lookup of the other gateways after a restore. Until they have noticed it
-/// and registered again, within [`RESTORE_SPREAD`], a lookup would find too few of them.
-const RESTORE_PAUSE: Duration = Duration::from_millis(3_000);
+/// Pause before the next lookup of the other gateways after that. Until they have noticed it and
+/// registered again, within [`RETURN_SPREAD`], a lookup would find too few of them.
+const RETURN_PAUSE: Duration = Duration::from_millis(3_000);
 
 /// Interval between the first lookups of the other gateways, while the whole fleet may be
 /// starting. It doubles up to [`MAX_LOOKUP_INTERVAL`].
@@ -79,66 +81,96 @@
 }
 
 impl Registration<'_> {
-    /// Renews the registration at regular intervals, and registers again once the store has come
-    /// back from a copy: that may lack the registration, and the lease may be another gateway's.
+    /// Renews the registration at regular intervals, and checks it whenever the store was away, as its
+    /// lease may have ended. Registers again once the store has come back from a copy: that may lack the
+    /// registration, and the lease may be another gateway's.
     async fn keep_renewed(&self, peers: &Peers) {
-        let mut restores = Restores::new(peers);
+        let (mut restores, mut returns) = (Restores::new(peers), Returns::new(peers));
         let mut lease = None;
         loop {
-            lease = self.renew(lease).await;
-            let pause = if lease.is_some() { RENEWAL_INTERVAL } else { RETRY_INTERVAL };
-            if restores.wait(pause).await {
-                lease = None;
-                sleep(RESTORE_SPREAD.mul_f64(rand::rng().random())).await;
+            let is_sure = self.renew(&mut lease).await;
+            let pause = if is_sure { RENEWAL_INTERVAL } else { RETRY_INTERVAL };
+            tokio::select! {
+                () = sleep(pause) => continue,
+                () = restores.next() => lease = None,
+                () = returns.next() => {}
             }
+            sleep(RETURN_SPREAD.mul_f64(rand::rng().random())).await;
         }
     }
 
-    /// Looks up the other gateways at increasing intervals, the first time at once.
+    /// Looks up the other gateways at increasing intervals, the first time at once. While others may
+    /// have lost their registrations, those that are known stay: a gateway that takes itself for the
+    /// only one would spend the limits and budgets of all.
     async fn follow_peers(&self, peers: &Peers) {
+        let (mut restores, mut returns) = (Restores::new(peers), Returns::new(peers));
         let mut interval = MIN_LOOKUP_INTERVAL;
-        let mut restores = Restores::new(peers);
+        let mut was_listed = false;
         loop {
-            match self.store.list_cached(PREFIX).await {
+            let listed = self.store.list_cached(PREFIX).await;
+            let is_listed = listed.as_ref().is_ok_and(|entries| self.is_listed(entries));
+            let has_changed = restores.has_restored() | returns.has_returned();
+            match listed {
                 // The list may lack gateways that have not registered again.
-                Ok(_) if restores.has_restored() => {
-                    sleep(RESTORE_PAUSE).await;
+                Ok(_) if has_changed || peers.is_store_lost() => {
+                    sleep(RETURN_PAUSE).await;
                     interval = MIN_LOOKUP_INTERVAL;
                     continue;
                 }
+                Ok(_) if was_listed && !is_listed => {
+                    log::warn!("the registration of this gateway is missing");
+                    was_listed = false;
+                    peers.set_returned();
+                    continue;
+                }
                 Ok(entries) => {
+                    was_listed = is_listed;
                     set_peers(peers, &entries);
                     stored::learn(peers.routing(), &entries);
                 }
                 Err(error) => log::info!("peers can't be looked up: {error}"),
             }
-            if restores.wait(interval).await {
-                sleep(RESTORE_PAUSE).await;
-                interval = MIN_LOOKUP_INTERVAL;
-            } else {
-                interval = (interval * 2).min(MAX_LOOKUP_INTERVAL);
+            tokio::select! {
+                () = sleep(interval) => interval = (interval * 2).min(MAX_LOOKUP_INTERVAL),
+                () = restores.next() => interval = self.await_registrations().await,
+                () = returns.next() => interval = self.await_registrations().await,
             }
         }
     }
 
-    /// Renews the lease of the registration, or registers again if there is none or it expired.
-    ///
-    /// Returns the lease; `None` if the registration failed. If the store doesn't answer a
-    /// renewal, the lease may still be valid and is returned.
-    async fn renew(&self, lease: Option<Lease>) -> Option<Lease> {
+    /// Waits until the other gateways have registered again; returns the interval until the next lookup
+    /// but one.
+    async fn await_registrations(&self) -> Duration {
+        sleep(RETURN_PAUSE).await;
+        MIN_LOOKUP_INTERVAL
+    }
+
+    /// Whether this gateway is registered.
+    fn is_listed(&self, entries: &[Entry]) -> bool {
+        let vm = |entry: &Entry| entry.key.strip_prefix(MEMBER_PREFIX) == Some(&*self.member.vm);
+        entries.iter().any(vm)
+    }
+
+    /// Renews the lease of the registration, or registers again if there is none or it expired. Returns
+    /// whether the gateway is registered now, as far as the store says; if it doesn't answer, the lease
+    /// may still be valid and is kept.
+    async fn renew(&self, lease: &mut Option<Lease>) -> bool {
         let vm = self.member.vm.as_str();
-        if let Some(lease) = lease {
-            match self.store.renew(lease).await {
-                Ok(true) => return Some(lease),
+        if let Some(known) = *lease {
+            match self.store.renew(known).await {
+                Ok(true) => return true,
                 Ok(false) => log::info!(vm; "the registration expired"),
                 Err(error) => {
                     log::info!(vm; "the registration was not renewed: {error}");
-                    return Some(lease);
+                    return false;
                 }
             }
         }
         let registered = self.register().await;
-        registered.inspect_err(|error| log::info!("the gateway was not registered: {error}")).ok()
+        *lease = registered
+            .inspect_err(|error| log::info!("the gateway was not registered: {error}"))
+            .ok();
+        lease.is_some()
     }
 
     /// Writes the registration under a new lease.
--- a/crates/gateway/src/peer/restores.rs
+++ b/crates/gateway/src/peer/restores.rs
@@ -1,9 +1,6 @@
 //! Notices that the store has come back from a copy.
 
-use std::time::Duration;
-
 use tokio::sync::watch;
-use tokio::time::timeout;
 
 use crate::peer::Peers;
 
@@ -27,11 +24,6 @@
         self.known
     }
 
-    /// Waits for a time, or until the store has come back from a copy. Returns whether it has.
-    pub(crate) async fn wait(&mut self, time: Duration) -> bool {
-        timeout(time, self.next()).await.is_ok()
-    }
-
     /// Whether the store has come back from a copy since the last call.
     pub(crate) fn has_restored(&mut self) -> bool {
         let restores = *self.receiver.borrow_and_update();
@@ -42,7 +34,7 @@
     }
 
     /// Waits until the store has come back from a copy.
-    async fn next(&mut self) {
+    pub(crate) async fn next(&mut self) {
         while !self.has_restored() {
             if self.receiver.changed().await.is_err() {
                 // The peers are gone, and with them whoever could notice.
--- a/crates/gateway/src/peer/stored.rs
+++ b/crates/gateway/src/peer/stored.rs
@@ -22,6 +22,7 @@
 use crate::Routing;
 use crate::peer::Peers;
 use crate::peer::Restores;
+use crate::peer::Returns;
 
 /// Prefix of the keys of quarantines.
 const PREFIX: &str = "lycheeknot/quarantine/";
@@ -69,7 +70,7 @@
 pub(crate) async fn keep_written(store: &dyn Store, peers: &Peers) {
     let mut written: Vec<String> = Vec::new();
     let mut removed: Vec<String> = Vec::new();
-    let mut restores = Restores::new(peers);
+    let (mut restores, mut returns) = (Restores::new(peers), Returns::new(peers));
     loop {
         sleep(INTERVAL.mul_f64(rand::rng().random_range(0.75..1.25))).await;
         if !peers.relays(Duty::Loads).is_empty() {
@@ -82,6 +83,10 @@
             written.append(&mut removed);
             written.retain(|key| current.iter().all(|(other, _)| other != key));
         }
+        if returns.has_returned() {
+            // Their leases may have ended. What the store still has is not written over.
+            written.retain(|key| current.iter().all(|(other, _)| other != key));
+        }
         for (key, stored) in &current {
             if written.contains(key) {
                 continue;
--- a/crates/gateway/src/peer/streams.rs
+++ b/crates/gateway/src/peer/streams.rs
@@ -18,12 +18,14 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::origins::Origins;
 use crate::origins::Reading;
 use crate::origins::Stored;
 use crate::peer::Finder;
 use crate::peer::Peers;
 use crate::peer::Replicator;
 use crate::peer::Restores;
+use crate::peer::Returns;
 use crate::peer::journals;
 use crate::peer::journals::PREFIX;
 
@@ -34,7 +36,7 @@
 /// Interval between renewals of the lease. One may fail.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(20);
 
-/// Time after a restore of the store for which replicated streams are stored as well: longer than
+/// Time after the store has lost streams for which replicated ones are stored as well: longer than
 /// clients take to come back for them.
 const REPLICAS_TIME: Duration = Duration::from_secs(60);
 
@@ -66,16 +68,19 @@
     while wanted.changed().await.is_ok() {
         let number = *wanted.borrow_and_update();
         let asked = origins.take_asked();
-        let (stored, ()) = tokio::join!(read(store), finder.find(&asked));
+        let (stored, ()) = tokio::join!(read(store, origins), finder.find(&asked));
         origins.reading.send_replace(Reading { number, stored: stored.map(Arc::new) });
         sleep(READ_PAUSE).await;
     }
 }
 
 /// Reads what all gateways have stored; `None` if that fails or takes too long.
-async fn read(store: &dyn Store) -> Option<Stored> {
+async fn read(store: &dyn Store, origins: &Origins) -> Option<Stored> {
     match timeout(READ_TIMEOUT, store.list(PREFIX)).await {
-        Ok(Ok(entries)) => Some(journals::decode(&entries)),
+        Ok(Ok(entries)) => {
+            origins.check_journal(&entries);
+            Some(journals::decode(&entries))
+        }
         Ok(Err(error)) => {
             log::warn!("the streams of other gateways can't be read: {error}");
             None
@@ -91,18 +96,19 @@
 /// several of them.
 pub(crate) async fn keep_written(store: &dyn Store, peers: &Peers) {
     let process = format!("{PREFIX}{}/{:x}", peers.own().vm, rand::rng().random::<u32>());
-    let mut restores = Restores::new(peers);
+    let (mut restores, mut returns) = (Restores::new(peers), Returns::new(peers));
     let known = restores.known().unwrap_or_default();
     let mut writer = Writer {
         store,
         process,
         restores: known,
-        restored: None,
+        lost: None,
         lease: None,
+        is_doubtful: false,
         written: Vec::new(),
     };
     let origins = peers.routing().origins();
-    let mut knows_others = false;
+    let (mut knows_others, mut lost) = (false, None);
     loop {
         let routing = peers.routing();
         let _ = timeout(IDLE_INTERVAL, origins.changed.notified()).await;
@@ -110,25 +116,36 @@
             // The copy may lack what was written, and its lease may be another gateway's.
             writer.set_restores(restores.known().unwrap_or_default(), routing.now());
         }
+        if returns.has_returned() {
+            // Leases may have ended while the store was away. Not all gateways ask at the same time.
+            writer.is_doubtful = true;
+            sleep(write_interval(peers).mul_f64(rand::rng().random())).await;
+        }
+        writer.is_doubtful |= origins.take_doubt();
         origins.announce(&routing.endpoints(), routing.now());
-        if !knows_others && let Some(stored) = read(store).await {
+        if !knows_others && let Some(stored) = read(store, origins).await {
             // A process that starts late in a rollout knows only the newer version otherwise.
             origins.learn_versions(&stored, routing.now());
             knows_others = true;
         }
         let number = origins.recorded();
         let (versions, segments) = origins.to_store(routing.now());
-        let replicas = origins.replicas_to_store(writer.is_restored(routing.now()), routing.now());
+        let replicas = origins.replicas_to_store(writer.has_lost(routing.now()), routing.now());
         if versions.rows.is_empty() {
             continue;
         }
-        let write = writer.write(&versions, &segments, &replicas);
+        let write = writer.write(&versions, &segments, &replicas, routing.now());
         let outcome = watch(write, || origins.set_failing(true)).await;
         origins.set_failing(outcome.is_err());
         origins.stored.set(number, outcome.is_ok());
+        if writer.lost > lost {
+            lost = writer.lost;
+            origins.set_lost(routing.now());
+        }
         match outcome {
             Ok(history) => {
                 writer.set_restores(history, routing.now());
+                origins.set_journal(&writer.process);
                 origins.set_stored_versions(&versions, knows_others);
             }
             Err(error) => log::info!("the streams of this gateway were not stored: {error}"),
@@ -180,10 +197,12 @@
     /// Number of restores of the store before its present history, which is part of the keys: what
     /// was written before a restore may be incomplete.
     restores: u64,
-    /// Time at which that history was first heard of; `None` if there was none before it.
-    restored: Option<Duration>,
+    /// Time at which the store had last lost what was written; `None` if it never has.
+    lost: Option<Duration>,
     /// With the time of its last renewal.
     lease: Option<(Lease, Instant)>,
+    /// Whether the lease may have ended although it was renewed in time.
+    is_doubtful: bool,
     /// Keys and values as the store has them.
     written: Vec<(String, Vec<u8>)>,
 }
@@ -193,21 +212,21 @@
     fn set_restores(&mut self, restores: u64, now: Duration) {
         if restores > self.restores {
             self.restores = restores;
-            self.restored = Some(now);
-            self.forget();
+            self.forget(now);
         }
     }
 
-    /// Whether the store has come back from a copy lately, and may lack streams of gateways that have
+    /// Whether the store has lately lost what was written, and may lack streams of gateways that have
     /// ended since.
-    fn is_restored(&self, now: Duration) -> bool {
-        self.restored.is_some_and(|at| now.saturating_sub(at) < REPLICAS_TIME)
+    fn has_lost(&self, now: Duration) -> bool {
+        self.lost.is_some_and(|at| now.saturating_sub(at) < REPLICAS_TIME)
     }
 
     /// Forgets what was written, so that all of it is written again under another lease.
-    fn forget(&mut self) {
+    fn forget(&mut self, now: Duration) {
         self.lease = None;
         self.written.clear();
+        self.lost = Some(now);
     }
 
     /// Writes what has changed, and removes what is over. Returns the number of restores before the
@@ -217,8 +236,9 @@
         versions: &Segment,
         segments: &[(u64, Segment)],
         replicas: &[(u64, Segment)],
+        now: Duration,
     ) -> Result<u64, Error> {
-        let lease = self.lease().await?;
+        let lease = self.lease(now).await?;
         let prefix = format!("{}.{}/", self.process, self.restores);
         let mut current = vec![(format!("{prefix}versions"), encode(versions)?)];
         for (place, segment) in segments {
@@ -246,27 +266,32 @@
                 Ok(version::restores(version))
             }
             Ok(Outcome::Conflict) => {
-                self.forget();
+                self.forget(now);
                 Err(Error::Protocol("the lease of the streams has ended".to_owned()))
             }
-            Err(error) => Err(error),
+            Err(error) => {
+                self.is_doubtful = true;
+                Err(error)
+            }
         }
     }
 
-    /// Returns the lease, which is granted or renewed if that is due.
-    async fn lease(&mut self) -> Result<Lease, Error> {
+    /// Returns the lease, which is granted, or renewed if that is due or it may have ended.
+    async fn lease(&mut self, now: Duration) -> Result<Lease, Error> {
         if let Some((lease, renewed)) = self.lease {
-            if renewed.elapsed() < RENEWAL_INTERVAL {
+            if renewed.elapsed() < RENEWAL_INTERVAL && !self.is_doubtful {
                 return Ok(lease);
             }
             if self.store.renew(lease).await? {
                 self.lease = Some((lease, Instant::now()));
+                self.is_doubtful = false;
                 return Ok(lease);
             }
-            self.forget();
+            self.forget(now);
         }
         let lease = self.store.grant(LEASE_TTL_S).await?;
         self.lease = Some((lease, Instant::now()));
+        self.is_doubtful = false;
         Ok(lease)
     }
 }
--- a/crates/gateway/tests/sessions/unstored.rs
+++ b/crates/gateway/tests/sessions/unstored.rs
@@ -177,3 +177,26 @@
     hub.kill();
     third.kill();
 }
+
+/// Guards against LOST: a gateway ends whose journal has lapsed, and a new version joins after that.
+#[test]
+fn a_stream_of_a_gateway_whose_journal_lapsed_is_refused_elsewhere() {
+    let (old, new) = endpoints();
+    let store = Fake::default();
+    let other = Gateway::start(&store, &old, &[]);
+    Gateway::start(&store, &old, &[]).kill();
+    // Its read shows the other one that its own journal has gone as well.
+    store.entries.lock().retain(|entry| !entry.key.starts_with("lycheeknot-streams/"));
+    store.has_lapsed.store(true, Ordering::SeqCst);
+    let seen_by = |id: &str, begun: &str| {
+        let response = Client::connect(other.fixture.address).exchange(&take_up(id, begun));
+        assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
+    };
+    seen_by("s1", "r1");
+    thread::sleep(Duration::from_millis(2_500));
+    new.iter().for_each(|endpoint| other.fixture.announce("model", endpoint, "v2"));
+    thread::sleep(Duration::from_millis(100));
+    seen_by("s2", "r2");
+    assert_eq!(seen(&new), 0);
+    other.kill();
+}
--- a/crates/gateway/tests/support/store.rs
+++ b/crates/gateway/tests/support/store.rs
@@ -32,6 +32,8 @@
     pub is_unreadable: Arc<AtomicBool>,
     /// How often it has come back from a copy.
     pub restores: Arc<AtomicU64>,
+    /// Whether the lease that is renewed next has ended.
+    pub has_lapsed: Arc<AtomicBool>,
 }
 
 impl Fake {
@@ -89,6 +91,7 @@
     }
 
     fn renew(&self, _: Lease) -> LocalBoxFuture<'_, Result<bool, Error>> {
-        async { Ok(true) }.boxed_local()
+        let is_valid = !self.has_lapsed.swap(false, Ordering::SeqCst);
+        async move { Ok(is_valid) }.boxed_local()
     }
 }
--- a/crates/policy/src/origin.rs
+++ b/crates/policy/src/origin.rs
@@ -7,6 +7,7 @@
 
 mod journal;
 mod ledger;
+mod loss;
 mod outlook;
 mod segment;
 
@@ -14,6 +15,7 @@
 
 pub use journal::Journal;
 pub use ledger::Ledger;
+pub use loss::Loss;
 pub use outlook::Outlook;
 pub use segment::Row;
 pub use segment::Segment;
@@ -58,8 +60,8 @@
 ///
 /// If all of them know the same version only, it began the stream, whether it was stored or not. If
 /// they know several, those that know more than one have stored each stream, so one that isn't stored
-/// began at a gateway that knew a single version. A stream without an id is known only in the first
-/// case.
+/// began at a gateway that knew a single version, or at one whose journal the store has lost. A stream
+/// without an id is known only in the first case.
 pub fn resolve<'a>(
     journals: &'a [Journal],
     outlook: &'a Outlook,
@@ -81,12 +83,24 @@
     if let [version] = versions[..] {
         return Origin::Version(version);
     }
-    let has_all_journals = outlook.is_first || outlook.age >= LOST_JOURNALS_TIME;
-    if stream.is_none() || !is_complete || !has_all_journals {
+    if stream.is_none() {
         return Origin::Unknown;
     }
-    let single = journals.iter().filter_map(|journal| journal.single_version(service));
-    let mut single: Vec<&str> = single.collect();
+    let complete = journals.iter().filter(|journal| journal.is_complete);
+    let mut single: Vec<&str> =
+        complete.filter_map(|journal| journal.single_version(service)).collect();
+    let has_seen_all = outlook.is_first || outlook.age >= LOST_JOURNALS_TIME;
+    match &outlook.loss {
+        None if !is_complete || !has_seen_all => return Origin::Unknown,
+        None => {}
+        Some(loss) if loss.age < SETTLE_TIME => return Origin::Pending,
+        Some(loss) => {
+            // A lost journal had some of these versions, and one that lacks rows had its own.
+            single.extend(loss.versions(service));
+            let incomplete = journals.iter().filter(|journal| !journal.is_complete);
+            single.extend(incomplete.flat_map(|journal| journal.versions(service)));
+        }
+    }
     single.sort_unstable();
     single.dedup();
     match single[..] {
--- a/crates/policy/src/origin/journal.rs
+++ b/crates/policy/src/origin/journal.rs
@@ -33,9 +33,9 @@
 
     /// Returns the versions of a service that the process may have used lately, sorted.
     pub(crate) fn versions(&self, service: &str) -> Vec<&str> {
-        let rows = self.segments.iter().flat_map(|segment| &segment.rows);
-        let rows = rows.filter(|row| row.service == service);
-        let mut versions: Vec<&str> = rows.map(|row| row.version.as_str()).collect();
+        let segments = self.segments.iter();
+        let mut versions: Vec<&str> =
+            segments.flat_map(|segment| segment.versions(service)).collect();
         versions.sort_unstable();
         versions.dedup();
         versions
--- a/crates/policy/src/origin/outlook.rs
+++ b/crates/policy/src/origin/outlook.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::origin::Loss;
 use crate::origin::Segment;
 
 /// What a gateway knows of versions, from the announcements of endpoints.
@@ -14,12 +15,13 @@
     pub age: Duration,
     /// Whether it has known no other history.
     pub is_first: bool,
+    /// What it knows of the last time at which the store lost journals; `None` if that is long ago.
+    pub loss: Option<Loss>,
 }
 
 impl Outlook {
     /// Returns the versions of a service.
     pub(crate) fn versions(&self, service: &str) -> impl Iterator<Item = &str> {
-        let rows = self.versions.rows.iter().filter(move |row| row.service == service);
-        rows.map(|row| row.version.as_str())
+        self.versions.versions(service)
     }
 }
--- a/crates/policy/src/origin/segment.rs
+++ b/crates/policy/src/origin/segment.rs
@@ -36,6 +36,12 @@
         self.rows.len() <= Segment::MAX_ROWS && streams <= Segment::MAX_STREAMS
     }
 
+    /// Returns the versions of a service.
+    pub(crate) fn versions(&self, service: &str) -> impl Iterator<Item = &str> {
+        let rows = self.rows.iter().filter(move |row| row.service == service);
+        rows.map(|row| row.version.as_str())
+    }
+
     /// Adds a stream that began at a version of a service.
     pub fn add(&mut self, service: &str, version: &str, stream: StreamId) {
         self.row(service, version).streams.push(stream);
--- a/crates/policy/tests/origin.rs
+++ b/crates/policy/tests/origin.rs
@@ -4,6 +4,7 @@
 
 use policy::origin::Journal;
 use policy::origin::Ledger;
+use policy::origin::Loss;
 use policy::origin::Origin;
 use policy::origin::Outlook;
 use policy::origin::Row;
@@ -41,7 +42,7 @@
 fn outlook(versions: &[&str], age: Duration, is_first: bool) -> Outlook {
     let mut ledger = Ledger::default();
     versions.iter().for_each(|version| ledger.announce("model", version, at(1)));
-    Outlook { versions: ledger.versions(at(1)), age, is_first }
+    Outlook { versions: ledger.versions(at(1)), age, is_first, loss: None }
 }
 
 #[test]
@@ -95,6 +96,56 @@
     assert_eq!(policy::origin::resolve(&incomplete, &outlook, "model", Some(7)), Origin::Unknown);
 }
 
+#[test]
+fn a_stream_of_the_first_rollout_is_taken_for_one_of_the_second() {
+    let journal = |versions: &[&str]| {
+        let mut ledger = Ledger::default();
+        versions.iter().for_each(|version| ledger.announce("model", version, at(1)));
+        stored(&ledger, at(1))
+    };
+    // Two gateways ended: one before the first rollout, one between them.
+    let (before, between) = (journal(&["v1"]), journal(&["v2"]));
+    let others = [journal(&["v1", "v2", "v3"]), journal(&["v2", "v3"])].concat();
+    assert_eq!(resolve(&[between.clone(), others.clone()].concat(), "model", 7), Some("v2"));
+    assert_eq!(resolve(&[before.clone(), others.clone()].concat(), "model", 7), Some("v1"));
+    assert_eq!(resolve(&[before, between, others].concat(), "model", 7), None);
+}
+
+#[test]
+fn a_stream_whose_journal_was_lost_is_unknown_though_a_single_version_was_in_use() {
+    let mut reader = Ledger::default();
+    reader.announce("model", "v1", at(1));
+    reader.announce("model", "v2", at(20));
+    let all = stored(&reader, at(20));
+    let loss = |at_s: u64, now: u64| Loss {
+        age: at(now - at_s),
+        versions: reader.versions_until(at(at_s) + Loss::SETTLE_TIME, at(now)),
+    };
+    let find = |journals: &[Journal], loss: Option<Loss>, is_first| {
+        let outlook = Outlook { loss, ..outlook(&["v1", "v2"], at(20), is_first) };
+        match policy::origin::resolve(journals, &outlook, "model", Some(7)) {
+            Origin::Version(version) => version.to_owned(),
+            other => format!("{other:?}"),
+        }
+    };
+    for is_first in [true, false] {
+        assert_eq!(find(&all, None, is_first), "Unknown");
+        assert_eq!(find(&all, Some(loss(10, 30)), is_first), "v1");
+        // Others may still write again what the store has lost.
+        assert_eq!(find(&all, Some(loss(20, 22)), is_first), "Pending");
+        // Both versions may have been in use before.
+        assert_eq!(find(&all, Some(loss(18, 30)), is_first), "Unknown");
+        assert_eq!(find(&all, Some(loss(25, 30)), is_first), "Unknown");
+        // A journal that lacks rows had another version.
+        let mut newer = Ledger::default();
+        newer.announce("model", "v2", at(1));
+        let mut lacking = stored(&newer, at(1));
+        lacking[0].is_complete = false;
+        let both = [all.clone(), lacking].concat();
+        assert_eq!(find(&both, Some(loss(10, 30)), is_first), "Unknown");
+    }
+}
+
 #[test]
 fn what_was_stored_before_a_restore_counts_as_all_that_there_was() {
     let mut ledger = Ledger::default();
--- a/crates/standins/src/key_value/lease.rs
+++ b/crates/standins/src/key_value/lease.rs
@@ -64,6 +64,13 @@
         if id == 0 || self.leases.value(&id).is_some() { Ok(()) } else { Err(Error::NoLease) }
     }
 
+    /// Removes all leases and returns their ids.
+    pub(crate) fn take_all(&mut self) -> Vec<LeaseId> {
+        let all = self.leases.entries().iter().map(|(id, _)| *id).collect();
+        self.leases.retain(|_, _| false);
+        all
+    }
+
     /// Removes the expired leases and returns their ids.
     pub(crate) fn take_expired(&mut self) -> Vec<LeaseId> {
         let now = Instant::now();
--- a/crates/standins/src/key_value/mod.rs
+++ b/crates/standins/src/key_value/mod.rs
@@ -48,6 +48,8 @@
     pub cut_watches: bool,
     /// Number of next events that watches leave out.
     pub lose_watch_events: u32,
+    /// Whether all leases in force when this is set end at once, with their keys.
+    pub end_leases: bool,
 }
 
 /// Counters of the calls since the start.
@@ -85,11 +87,24 @@
 ///
 /// The service can't be reached, or refuses.
 pub fn restore(server: &Server, revision: u64) -> io::Result<()> {
-    let body = format!(r#"{{"revision":{revision}}}"#);
+    control(server, "restore", &format!(r#"{{"revision":{revision}}}"#))
+}
+
+/// Sets the faults of a running service.
+///
+/// # Errors
+///
+/// The service can't be reached, or refuses.
+pub fn set_faults(server: &Server, faults: &Faults) -> io::Result<()> {
+    control(server, "faults", &serde_json::to_string(faults)?)
+}
+
+/// Calls a control of a running service.
+fn control(server: &Server, name: &str, body: &str) -> io::Result<()> {
     let mut stream = TcpStream::connect(server.addr())?;
     write!(
         stream,
-        "POST /standin/restore HTTP/1.1\r\nHost: s\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{body}",
+        "POST /standin/{name} HTTP/1.1\r\nHost: s\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{body}",
         body.len()
     )?;
     let mut answer = String::new();
--- a/crates/standins/src/key_value/routes.rs
+++ b/crates/standins/src/key_value/routes.rs
@@ -15,6 +15,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::json;
+use crate::key_value::Faults;
 use crate::key_value::calls;
 use crate::key_value::error::Error;
 use crate::key_value::message::Found;
@@ -154,9 +155,13 @@
 }
 
 async fn set_faults(service: Shared, body: Bytes) -> HttpResponse {
-    match json::parse(&body) {
+    match json::parse::<Faults>(&body) {
         Ok(faults) => {
+            let end_leases = faults.end_leases;
             service.faults.send_replace(faults);
+            if end_leases {
+                service.end_leases();
+            }
             HttpResponse::Ok().finish()
         }
         Err(response) => response,
--- a/crates/standins/src/key_value/service.rs
+++ b/crates/standins/src/key_value/service.rs
@@ -12,6 +12,7 @@
 use crate::key_value::Options;
 use crate::key_value::error::Error;
 use crate::key_value::lease::Leases;
+use crate::key_value::message::LeaseId;
 use crate::key_value::message::Revision;
 use crate::key_value::store::Store;
 use crate::limiter::Limiter;
@@ -89,8 +90,17 @@
 
     /// Removes the expired leases and their keys.
     pub(crate) fn remove_expired(&self) {
+        self.remove_leases(Leases::take_expired);
+    }
+
+    /// Removes all leases and their keys.
+    pub(crate) fn end_leases(&self) {
+        self.remove_leases(Leases::take_all);
+    }
+
+    fn remove_leases(&self, take: impl FnOnce(&mut Leases) -> Vec<LeaseId>) {
         let mut state = self.state.lock();
-        let expired = state.leases.take_expired();
+        let expired = take(&mut state.leases);
         for id in &expired {
             state.store.remove_leased(*id);
         }
