Take a status of 600 and above for a broken response

What callers saw: reported of other systems, a status of 000 that reached the client as an answer. Here 000, 099, 1000, a status of two or four digits, of letters, with a sign, none at all and 101 ended in 502 before this change already; but 600 and 999 were passed on as answers.

Cause: hyper takes any three digits from 100 on for a status, and the gateway passed on all that it takes. RFC 9110, section 15, has no classes above 5.

Test: heads::a_status_that_is_none_reaches_the_client_as_an_answer failed before for 600 ('HTTP/1.1 600 <unknown status code>'), on routes of plain services and of streams, with a length and without; it passes now.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -163,6 +163,10 @@
     };
     let begun = Instant::now();
     let status = response.status();
+    if !is_final(status) {
+        let cause = format!("{} is no status of a final response", status.as_u16());
+        return fail(worker, request, endpoint, &Failure::Broken(cause));
+    }
     let reply = dialect.reply(status.as_u16(), response.headers());
     // It is the endpoint's word also in a response to an earlier request.
     if !reply.is_other_endpoint {
@@ -271,6 +275,12 @@
     true
 }
 
+/// Whether a status is one of a final response (RFC 9110, section 15). Codes of 600 and above have no
+/// class, and a protocol is never switched.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Whether a response may be an event stream. A body of another type has no events by whose ends
 /// it could be checked.
 fn may_be_events(headers: &HeaderMap) -> bool {
--- a/crates/gateway/tests/sessions/heads.rs
+++ b/crates/gateway/tests/sessions/heads.rs
@@ -80,3 +80,29 @@
         assert!(second.starts_with("HTTP/1.1 502 "), "{length}: {second}");
     }
 }
+
+/// Guards against MIXED: an endpoint in trouble sends a status that is none (RFC 9110, section 15), and the
+/// client gets it as an answer.
+#[test]
+fn a_status_that_is_none_reaches_the_client_as_an_answer() {
+    let none = ["000", "099", "1000", "600", "999", "abc", "20", "2000", "-200", "+20", "101", ""];
+    let framings = ["Content-Length: 5\r\n\r\nfound", "Connection: close\r\n\r\nfound"];
+    for (route, service, content_type) in
+        [("book", "plain", "text/plain"), ("once", "model", "text/event-stream")]
+    {
+        for status in none {
+            for framing in framings {
+                let head = HEAD.replace("TYPE", content_type).replace("200 OK", status);
+                let sent = send(&head.replace("FRAMING\r\n\r\n", framing));
+                let endpoint =
+                    Endpoint::start("e1", vec![vec![sent, Step::Pause(20), Step::Close]]);
+                let fixture = Fixture::new(service, &[&endpoint]);
+                let request = format!(
+                    "POST /{route}/1 HTTP/1.1\r\n{REQUEST_HEADERS}Content-Length: 2\r\n\r\nhi"
+                );
+                let response = status_line(&mut Client::connect(fixture.address), &request);
+                assert!(response.starts_with("HTTP/1.1 502 "), "{status:?}, {framing}: {response}");
+            }
+        }
+    }
+}
