--- a/crates/gateway/tests/sessions/main.rs
+++ b/crates/gateway/tests/sessions/main.rs
@@ -22,4 +22,5 @@
 mod support;
 mod unframed;
 mod unstored;
+mod uploads;
 mod versions;
--- a/crates/gateway/tests/sessions/stops.rs
+++ b/crates/gateway/tests/sessions/stops.rs
@@ -117,3 +117,43 @@
     }
     unanswered
 }
+
+/// Guards against LOST: a request that comes late in the grace period, and may not be repeated, is
+/// passed on and then cut without an answer.
+#[test]
+fn a_late_request_of_a_planned_stop_is_passed_on_and_cut() {
+    let silent = Endpoint::start("e1", vec![vec![Step::Pause(5_000)]]);
+    let slow = vec![vec![Step::Pause(700)], full_response("200 OK", "found")].concat();
+    for endpoint in [silent, Endpoint::start("e1", vec![slow])] {
+        let fixture = Fixture::new("plain", &[&endpoint]);
+        let (address, start) = (fixture.address, Instant::now());
+        fixture.stop.cancel();
+        let mut clients = Vec::new();
+        // The periods of notice and grace take 3.3 s, the route allows 0.8 s.
+        while start.elapsed() < Duration::from_millis(3_500) {
+            let id = format!("r{}", clients.len());
+            clients.push(thread::spawn(move || (id.clone(), book(address, &id))));
+            thread::sleep(Duration::from_millis(10));
+        }
+        let answers = clients.into_iter().map(|client| client.join().expect("a client"));
+        let seen = endpoint.seen();
+        let is_sent = |id: &str| seen.iter().any(|head| head.contains(&format!(": {id}\r\n")));
+        let cut: Vec<(String, String)> = answers
+            .filter(|(id, answer)| is_sent(id) && !answer.starts_with("HTTP/1.1 "))
+            .collect();
+        assert!(cut.is_empty(), "of {} that were passed on: {cut:?}", seen.len());
+        assert!(seen.len() > 100, "{} were passed on", seen.len());
+    }
+}
+
+/// Sends a request that may not be repeated on a connection of its own, and returns the answer.
+fn book(address: SocketAddr, id: &str) -> String {
+    let head = REQUEST_HEADERS.replace("r1", id);
+    let Ok(mut stream) = TcpStream::connect(address) else { return String::new() };
+    let request = format!("POST /book/{id} HTTP/1.1\r\n{head}Content-Length: 2\r\n\r\nhi");
+    let _ = stream.write_all(request.as_bytes());
+    let _ = stream.set_read_timeout(Some(Duration::from_secs(6)));
+    let mut answer = vec![0; 1_024];
+    let length = stream.read(&mut answer).unwrap_or_default();
+    String::from_utf8_lossy(&answer[..length]).into_owned()
+}
