Answer requests that outlast a planned stop instead of closing their connections

What callers saw: reported of other systems, and so here for routes that allow more time than the grace period: a request that came in the notice of a planned stop, when all are taken, was closed without an answer at the end, also one that may not be repeated. Late requests whose time ends with the process were answered before this change already.

Cause: at the end of the grace period the server is stopped with all that it still has.

Change: requests that have no response by then are answered 504, which says that it is not known whether they ran. A stream that has begun is still cut there.

Test: stops::a_request_that_outlasts_a_planned_stop_is_cut_without_an_answer failed before (an empty answer) and passes; the stop still ends within the bound of 3.7 s of the test.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -142,6 +142,7 @@
         stop_notice: settings.stop_notice,
         stop_grace: settings.stop_grace,
         stop,
+        overdue: CancellationToken::new(),
         finished: CancellationToken::new(),
         responses: TaskTracker::new(),
     }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -50,6 +50,9 @@
     pub stop_grace: Duration,
     /// Cancelled when the process is asked to stop.
     pub stop: CancellationToken,
+    /// Cancelled at the end of the grace period, when requests without a response are answered that it
+    /// is not known whether they ran.
+    pub overdue: CancellationToken,
     /// Cancelled when the process has sent its last response and accepts no more requests.
     pub finished: CancellationToken,
     /// Tracks responses that are not complete yet.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -66,13 +66,13 @@
     worker.earn_retry(&request.service);
     let mut attempts = Attempts::default();
     let pending = Pending::new(request);
-    let response = match find_version(worker, request).await {
-        Ok(version) => {
-            attempts.version = version;
-            forward(worker, request, &mut attempts).await
-        }
-        Err(refusal) => Err(refusal),
+    let response = async {
+        attempts.version = find_version(worker, request).await?;
+        forward(worker, request, &mut attempts).await
     };
+    // At the end of a stop an answer that promises nothing is better than a connection that closes.
+    let response = worker.context.overdue.run_until_cancelled(response).await;
+    let response = response.unwrap_or(Err(Refusal::Late));
     pending.finish();
     record::request(request, &attempts, &response);
     response
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -103,6 +103,7 @@
     let max_connections = context.limits.connections;
     let (stop, notice, grace) = (context.stop.clone(), context.stop_notice, context.stop_grace);
     let (responses, finished) = (context.responses.clone(), context.finished.clone());
+    let overdue = context.overdue.clone();
     let accepting = Socket::from(listener.try_clone()?);
     limit_buffers(&accepting);
     accepting.listen(BACKLOG)?;
@@ -138,6 +139,7 @@
                 responses.wait().await;
             };
             let is_done = timeout(grace, all_sent).await.is_ok();
+            overdue.cancel();
             refuse_connections(&accepting).await;
             finished.cancel();
             // Requests on connections that were accepted until now are read and refused.
--- a/crates/gateway/tests/sessions/stops.rs
+++ b/crates/gateway/tests/sessions/stops.rs
@@ -9,6 +9,8 @@
 use std::time::Instant;
 
 use expect_test::expect;
+use platform::Codec;
+use route::Dialect;
 
 use crate::support::client::Client;
 use crate::support::endpoint::Endpoint;
@@ -123,7 +125,7 @@
 #[test]
 fn a_late_request_of_a_planned_stop_is_passed_on_and_cut() {
     let silent = Endpoint::start("e1", vec![vec![Step::Pause(5_000)]]);
-    let slow = vec![vec![Step::Pause(700)], full_response("200 OK", "found")].concat();
+    let slow = [vec![Step::Pause(700)], full_response("200 OK", "found")].concat();
     for endpoint in [silent, Endpoint::start("e1", vec![slow])] {
         let fixture = Fixture::new("plain", &[&endpoint]);
         let (address, start) = (fixture.address, Instant::now());
@@ -132,7 +134,7 @@
         // The periods of notice and grace take 3.3 s, the route allows 0.8 s.
         while start.elapsed() < Duration::from_millis(3_500) {
             let id = format!("r{}", clients.len());
-            clients.push(thread::spawn(move || (id.clone(), book(address, &id))));
+            clients.push(thread::spawn(move || (id.clone(), send(address, "book", &id))));
             thread::sleep(Duration::from_millis(10));
         }
         let answers = clients.into_iter().map(|client| client.join().expect("a client"));
@@ -146,11 +148,36 @@
     }
 }
 
+/// Guards against LOST: a request of a route that allows more than the grace period comes during the
+/// notice, and its connection is closed at the end without an answer.
+#[test]
+fn a_request_that_outlasts_a_planned_stop_is_cut_without_an_answer() {
+    let endpoint = Endpoint::start("e1", vec![vec![Step::Pause(9_000)]]);
+    let fixture = Fixture::new("plain", &[&endpoint]);
+    let table = r#"{"version": 8, "routes": [
+        {"name": "book", "hostname": "h.example", "prefix": "/book/", "type": "mutating",
+         "service": "plain", "attempts": 1, "timeout_ms": 8000, "goal_ms": 300, "priority": 2},
+        {"name": "tell", "hostname": "h.example", "prefix": "/tell/", "type": "stream",
+         "service": "plain", "attempts": 1, "timeout_ms": 8000, "goal_ms": 300, "priority": 2}],
+      "services": [{"name": "plain"}], "tenants": [{"name": "club", "api_keys": ["k1"]}]}"#;
+    assert!(fixture.routing.set_table(Codec.table(table.as_bytes()).expect("a configuration")));
+    let (address, start) = (fixture.address, Instant::now());
+    fixture.stop.cancel();
+    let clients = ["book", "tell"].map(|route| thread::spawn(move || send(address, route, "r1")));
+    for client in clients {
+        let answer = client.join().expect("a client");
+        assert!(answer.starts_with("HTTP/1.1 504 "), "{answer}");
+    }
+    wait_until(|| fixture.is_stopped());
+    assert!(start.elapsed() < Duration::from_millis(3_700), "{:?}", start.elapsed());
+    assert_eq!(endpoint.seen().len(), 2);
+}
+
 /// Sends a request that may not be repeated on a connection of its own, and returns the answer.
-fn book(address: SocketAddr, id: &str) -> String {
+fn send(address: SocketAddr, route: &str, id: &str) -> String {
     let head = REQUEST_HEADERS.replace("r1", id);
     let Ok(mut stream) = TcpStream::connect(address) else { return String::new() };
-    let request = format!("POST /book/{id} HTTP/1.1\r\n{head}Content-Length: 2\r\n\r\nhi");
+    let request = format!("POST /{route}/{id} HTTP/1.1\r\n{head}Content-Length: 2\r\n\r\nhi");
     let _ = stream.write_all(request.as_bytes());
     let _ = stream.set_read_timeout(Some(Duration::from_secs(6)));
     let mut answer = vec![0; 1_024];
--- a/crates/gateway/tests/sessions/support/fixture.rs
+++ b/crates/gateway/tests/sessions/support/fixture.rs
@@ -162,6 +162,7 @@
             stop_notice: Duration::from_millis(300),
             stop_grace: Duration::from_secs(3),
             stop: stop.clone(),
+            overdue: CancellationToken::new(),
             finished: CancellationToken::new(),
             responses: TaskTracker::new(),
         };
