Cut an engine's event that does not end

Reported of other systems: bytes without end, in a head or a body, that the caller keeps until its memory is full. It happens here in agents: the parser of events keeps all of an event that is not whole yet, however long it gets.

Change: an event of more than 256 KiB ends the answer as one that broke off, and its connection closes.

--- a/crates/backend/src/openai/stream.rs
+++ b/crates/backend/src/openai/stream.rs
@@ -1,5 +1,8 @@
 //! The numbered chunks of a chat, read from server-sent events.
 
+use std::cell::Cell;
+use std::rc::Rc;
+
 use bytes::Bytes;
 use eventsource_stream::Event;
 use eventsource_stream::Eventsource;
@@ -15,6 +18,10 @@
 /// The data of the event that ends a stream.
 const DONE: &str = "[DONE]";
 
+/// Longest event that is read, in bytes: several times more than a whole generation takes. The parser
+/// keeps all bytes until an event is whole, and a broken engine may send them without end.
+const EVENT_MAX_BYTES: usize = 256 * 1024;
+
 /// A chunk with the engine's identifier of the work.
 pub(crate) struct Identified {
     pub(crate) handle: String,
@@ -35,12 +42,26 @@
     next: u64,
 ) -> LocalBoxStream<'static, Result<Identified, Error>> {
     let mut progress = Progress { next, last_id: String::new(), usage: Usage::default() };
+    // Bytes since the last whole event.
+    let received = Rc::new(Cell::new(0));
+    let total = Rc::clone(&received);
     response
         .take_payload()
+        .map(move |bytes| {
+            let bytes = bytes.map_err(|error| error.to_string())?;
+            total.set(total.get() + bytes.len());
+            match total.get() {
+                ..=EVENT_MAX_BYTES => Ok(bytes),
+                _ => Err(format!("an event is longer than {EVENT_MAX_BYTES} bytes")),
+            }
+        })
         .eventsource()
-        .map(move |event| match event {
-            Ok(event) => progress.next_chunk(event),
-            Err(error) => Err(Error::Cut(error.to_string())),
+        .map(move |event| {
+            received.set(0);
+            match event {
+                Ok(event) => progress.next_chunk(event),
+                Err(error) => Err(Error::Cut(error.to_string())),
+            }
         })
         .boxed_local()
 }
--- a/crates/backend/tests/openai.rs
+++ b/crates/backend/tests/openai.rs
@@ -13,6 +13,7 @@
 use backend::engine::Job;
 use backend::openai::Client;
 use futures_util::StreamExt;
+use ntex::time::Millis;
 use wire::Work;
 use wire::work::Chat;
 
@@ -86,6 +87,41 @@
     assert!(matches!(chunks[2], Err(Error::Cut(_))));
 }
 
+/// Guards against memory that bytes without end fill: an agent keeps all of an event that never ends.
+#[ntex::test]
+async fn an_event_without_end_is_kept_until_the_engine_closes() {
+    for (start, line) in [("", "a".repeat(1_024)), (EVENTS, "data: a\n".repeat(128))] {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: 999999999\r\n\r\n{start}data: ");
+        let sent = thread::spawn(move || {
+            let (mut socket, _) = listener.accept().expect("a connection");
+            socket.read(&mut [0; 4_096]).expect("a request");
+            socket.write_all(head.as_bytes()).expect("the head is taken");
+            let mut sent = 0;
+            while sent < 64 * 1024 * 1024 && socket.write_all(line.as_bytes()).is_ok() {
+                sent += line.len();
+            }
+            sent
+        });
+        let client = Client::new(&format!("http://{address}/")).await.expect("a client");
+        let answer = client.start(job()).await;
+        let error = match answer {
+            Ok(answer) => {
+                answer.chunks.filter_map(async |chunk| chunk.err()).boxed_local().next().await
+            }
+            Err(error) => Some(error),
+        };
+        assert!(matches!(&error, Some(Error::Cut(cause)) if cause.contains("longer")), "{error:?}");
+        // The connection closes while the runtime goes on.
+        while !sent.is_finished() {
+            ntex::time::sleep(Millis(5)).await;
+        }
+        let sent = sent.join().expect("the engine ends");
+        assert!(sent < 16 * 1024 * 1024, "the client has taken {sent} bytes");
+    }
+}
+
 #[ntex::test]
 async fn statuses_are_classified_by_whether_the_work_may_have_run() {
     for (status, code) in [("404 Not Found", 404), ("429 Slow", 429), ("503 Busy", 503)] {
