--- a/crates/backend/tests/openai.rs
+++ b/crates/backend/tests/openai.rs
@@ -96,7 +96,8 @@
         let head = format!("HTTP/1.1 200 OK\r\ncontent-length: 999999999\r\n\r\n{start}data: ");
         let sent = thread::spawn(move || {
             let (mut socket, _) = listener.accept().expect("a connection");
-            socket.read(&mut [0; 4_096]).expect("a request");
+            let length = socket.read(&mut [0; 4_096]).expect("a request");
+            assert!(length > 0, "an empty request");
             socket.write_all(head.as_bytes()).expect("the head is taken");
             let mut sent = 0;
             while sent < 64 * 1024 * 1024 && socket.write_all(line.as_bytes()).is_ok() {
