Count as in use before a loss what was known when the store went away

Change: a gateway remembers since when the store was away. What it did not know by then was in use nowhere, or only in the moment before; such streams are at the hubs, which are asked first.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -85,7 +85,7 @@
     }
     let routing = &worker.context.routing;
     if request.metadata.last_event.is_none() {
-        let left = routing.origins().unsecured_for(&request.service, routing.now());
+        let left = routing.origins().refused_for(&request.service, routing.now());
         return left.map_or(Ok(None), |left| Err(Refusal::Unsecured(left)));
     }
     let version = routing.find_version(&request.service, request.stream_id(), request.deadline);
@@ -180,7 +180,7 @@
 
 /// Chooses the endpoint of the next attempt, and counts the request as in flight there.
 fn choose_next(worker: &Worker, request: &Request, attempts: &Attempts) -> Option<Choice> {
-    let versions = worker.context.routing.origins().stored_versions();
+    let versions = worker.context.routing.origins().journal.versions();
     let preferred = if request.is_resumable() { &versions[..] } else { &[] };
     let criteria = Criteria { preferred, ..criteria(worker, request, attempts) };
     worker.context.routing.choose(&criteria)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,7 +31,6 @@
 mod options;
 mod origins;
 mod peer;
-mod progress;
 mod quarantine;
 mod record;
 mod refusal;
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -1,33 +1,36 @@
 //! Which versions began the streams that clients take up, as this gateway knows it.
 
+mod own_journal;
+mod progress;
+mod reading;
+mod recording;
+mod stored;
+
 use std::mem;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use parking_lot::Mutex;
 use policy::origin;
-use policy::origin::Journal;
 use policy::origin::Ledger;
 use policy::origin::Loss;
 use policy::origin::Origin;
 use policy::origin::Outlook;
-use policy::origin::Row;
 use policy::origin::Segment;
 use policy::origin::StreamId;
 use route::Endpoint;
-use services::store::Entry;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio::time::sleep;
-use tokio::time::timeout;
 use tokio::time::timeout_at;
 
+pub(crate) use own_journal::OwnJournal;
+pub(crate) use reading::Reading;
+pub(crate) use recording::Recording;
+pub(crate) use stored::Stored;
+
 use crate::history::History;
-use crate::progress::Progress;
 use crate::record;
 
 /// Longest time for which a request to resume a stream waits until the version that began it is
@@ -38,18 +41,6 @@
 /// Interval between reads of the store while others may still write what it lacks.
 const PENDING_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Longest time for which the first events of a stream are held back until both the store and another
-/// gateway have its version. It is short against the time to a first token.
-const HOLD_TIMEOUT: Duration = Duration::from_millis(60);
-
-/// Longest time after that until one of them has it. A client that waits longer does better to begin
-/// the stream at another gateway.
-const SECURE_TIMEOUT: Duration = Duration::from_millis(500);
-
-/// Time after a stream could not be recorded in which no other one begins: the store is tried again
-/// once a second.
-const UNSECURED_PAUSE: Duration = Duration::from_millis(1_000);
-
 /// The streams that began here, and those of other gateways as last read from the store.
 ///
 /// Requests are handled on other threads than calls of the store, so they ask for a read by
@@ -62,75 +53,33 @@
     replicas: Mutex<Ledger>,
     /// Streams of gateways that can't write to the store, which this one stores for them.
     adopted: Mutex<Ledger>,
-    /// Versions that the store has of this gateway, sorted by service and version.
-    stored_versions: Mutex<Arc<Vec<(String, String)>>>,
-    /// Number of the last stream that was recorded.
-    recorded: AtomicU64,
-    /// How far the streams are stored.
-    pub(crate) stored: Progress,
-    /// How far the streams are replicated to other gateways.
-    pub(crate) replicated: Progress,
-    /// Whether tasks store and replicate streams. Where none does, streams don't wait for them.
-    is_kept: AtomicBool,
-    /// Whether the last write of streams failed, or takes long.
-    is_failing: AtomicBool,
-    /// Until this time streams that have to be recorded don't begin here.
-    unsecured_until: Mutex<Duration>,
-    /// Time at which the store had last lost journals.
-    lost_at: Mutex<Option<Duration>>,
-    /// Common prefix of the keys of this process, once it has written them.
-    journal: Mutex<Option<String>>,
-    /// Whether the store may have lost the keys of this process.
-    is_journal_doubtful: AtomicBool,
+    /// What the store has of this gateway.
+    pub(crate) journal: OwnJournal,
+    /// How far streams are recorded elsewhere.
+    pub(crate) recording: Recording,
+    /// The last time at which the store had lost journals.
+    loss: Mutex<Option<Lost>>,
     /// Streams whose versions the next read looks up at other gateways. Their rows have no versions.
     asked: Mutex<Segment>,
     /// Signals that there is something to store.
     pub(crate) changed: Notify,
-    /// Signals that there is something to replicate.
-    pub(crate) has_recent: Notify,
     /// Number of the last read that was asked for.
     pub(crate) wanted: watch::Sender<u64>,
     /// Result of the last read.
     pub(crate) reading: watch::Sender<Reading>,
 }
 
-/// Result of a read of the store.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct Reading {
-    /// The last read that it answers.
-    pub(crate) number: u64,
-    /// What all gateways have stored; `None` if the store could not be read.
-    pub(crate) stored: Option<Arc<Stored>>,
-}
-
-/// What all gateways have stored.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub(crate) struct Stored {
-    /// Number of restores of the store when it was read.
-    pub(crate) restores: u64,
-    /// A journal for each process.
-    pub(crate) journals: Vec<Journal>,
-}
-
 impl Default for Origins {
     fn default() -> Origins {
         Origins {
             ledger: Mutex::default(),
             replicas: Mutex::default(),
             adopted: Mutex::default(),
-            stored_versions: Mutex::default(),
-            recorded: AtomicU64::default(),
-            stored: Progress::default(),
-            replicated: Progress::default(),
-            is_kept: AtomicBool::default(),
-            is_failing: AtomicBool::default(),
-            unsecured_until: Mutex::default(),
-            lost_at: Mutex::default(),
-            journal: Mutex::default(),
-            is_journal_doubtful: AtomicBool::default(),
+            journal: OwnJournal::default(),
+            recording: Recording::default(),
+            loss: Mutex::default(),
             asked: Mutex::default(),
             changed: Notify::new(),
-            has_recent: Notify::new(),
             wanted: watch::Sender::default(),
             reading: watch::Sender::default(),
         }
@@ -167,66 +116,29 @@
         if !is_recorded {
             return true;
         }
-        let number = self.recorded.fetch_add(1, Ordering::SeqCst) + 1;
+        let number = self.recording.add();
         self.changed.notify_one();
-        self.has_recent.notify_one();
-        let tried = async {
-            self.stored.wait_tried(number).await;
-            self.replicated.wait_tried(number).await;
-        };
-        let _ = timeout(HOLD_TIMEOUT, tried).await;
-        if !self.is_kept.load(Ordering::SeqCst) {
-            return true;
-        }
-        let secured = async {
-            tokio::select! {
-                () = self.stored.wait_done(number) => {}
-                () = self.replicated.wait_done(number) => {}
-            }
-        };
-        let is_secured = timeout(SECURE_TIMEOUT, secured).await.is_ok();
-        let waited = HOLD_TIMEOUT + SECURE_TIMEOUT;
-        *self.unsecured_until.lock() =
-            if is_secured { Duration::ZERO } else { now + waited + UNSECURED_PAUSE };
-        if !is_secured {
+        let is_known = self.recording.wait(number, now).await;
+        if !is_known {
             record::unsecured(endpoint);
         }
-        is_secured
+        is_known
     }
 
     /// Returns how long streams of a service are refused, as the last one could not be recorded;
     /// `None` if they may begin.
-    pub(crate) fn unsecured_for(&self, service: &str, now: Duration) -> Option<Duration> {
-        let left = self.unsecured_until.lock().saturating_sub(now);
-        let is_refused = !left.is_zero() && self.ledger.lock().is_recorded(service, now);
-        is_refused.then_some(left)
+    pub(crate) fn refused_for(&self, service: &str, now: Duration) -> Option<Duration> {
+        let left = self.recording.paused_for(now)?;
+        self.ledger.lock().is_recorded(service, now).then_some(left)
     }
 
     /// Lets streams wait for the tasks that store and replicate them. Until the store has the versions
     /// of this gateway, all streams have to be recorded.
     pub(crate) fn set_kept(&self) {
-        self.is_kept.store(true, Ordering::SeqCst);
+        self.recording.set_kept();
         self.ledger.lock().set_unstored(true);
     }
 
-    /// Sets whether the last write of streams failed, or takes long. If so, those that were replicated
-    /// lately are replicated once more, as others have to store them.
-    pub(crate) fn set_failing(&self, is_failing: bool) {
-        if !self.is_failing.swap(is_failing, Ordering::SeqCst) && is_failing {
-            self.has_recent.notify_one();
-        }
-    }
-
-    /// Whether the last write of streams failed, or takes long, so that others have to store them.
-    pub(crate) fn is_failing(&self) -> bool {
-        self.is_failing.load(Ordering::SeqCst)
-    }
-
-    /// Returns the number of the last stream that was recorded.
-    pub(crate) fn recorded(&self) -> u64 {
-        self.recorded.load(Ordering::SeqCst)
-    }
-
     /// Returns the version that began a stream of a service, which may have no id; `None` if that can't
     /// be found out before the deadline. `history` returns what the endpoints were read from, and the time.
     pub(crate) async fn find(
@@ -316,12 +228,12 @@
     /// Returns what this gateway itself knows of versions, to go with what was stored when the store
     /// had come back from a copy this often.
     fn outlook(&self, restores: u64, history: &History, now: Duration) -> Outlook {
-        let lost_at = *self.lost_at.lock();
+        let lost = *self.loss.lock();
         let ledger = self.ledger.lock();
         let versions = ledger.versions(now);
-        let loss = lost_at.map(|at| Loss {
-            age: now.saturating_sub(at),
-            versions: ledger.versions_until(at + Loss::SETTLE_TIME, now),
+        let loss = lost.map(|lost| Loss {
+            age: now.saturating_sub(lost.at),
+            versions: ledger.versions_until(lost.since, now),
         });
         // The endpoints may not have been read since the last restore.
         let is_same = history.restores == restores;
@@ -330,34 +242,20 @@
         Outlook { versions, age, is_first: is_same && history.is_first, loss }
     }
 
-    /// Records that the store has lost journals. All streams have to be recorded until it has that of this
-    /// gateway again.
-    pub(crate) fn set_lost(&self, now: Duration) {
+    /// Records that the store has lost journals, among them that of this gateway, since it went away. All
+    /// streams have to be recorded until it has that again.
+    pub(crate) fn set_lost(&self, since: Duration, now: Duration) {
         log::warn!("the store has lost the streams of this gateway; they are written again");
-        *self.lost_at.lock() = Some(now);
-        *self.stored_versions.lock() = Arc::default();
+        *self.loss.lock() = Some(Lost { since, at: now });
+        self.journal.clear();
         self.ledger.lock().set_unstored(true);
     }
 
-    /// Records the common prefix of the keys of this process, which it has written.
-    pub(crate) fn set_journal(&self, prefix: &str) {
-        *self.journal.lock() = Some(prefix.to_owned());
-    }
-
-    /// Checks whether the keys of this process are among those that the store has, and has the task
-    /// that writes them check its lease if they are not.
-    pub(crate) fn check_journal(&self, entries: &[Entry]) {
-        let journal = self.journal.lock().clone();
-        let has_key = |prefix: String| entries.iter().any(|entry| entry.key.starts_with(&prefix));
-        if journal.is_some_and(|prefix| !has_key(prefix)) {
-            self.is_journal_doubtful.store(true, Ordering::SeqCst);
-            self.changed.notify_one();
-        }
-    }
-
-    /// Whether the store may have lost the keys of this process since the last call.
-    pub(crate) fn take_doubt(&self) -> bool {
-        self.is_journal_doubtful.swap(false, Ordering::SeqCst)
+    /// Records that the store has the versions of this gateway, under a common prefix of its keys. Those
+    /// are all that count if those of the other gateways are known as well.
+    pub(crate) fn set_stored(&self, prefix: &str, versions: &Segment, is_complete: bool) {
+        self.ledger.lock().set_unstored(!is_complete);
+        self.journal.set(prefix, versions);
     }
 
     /// Returns what is to be stored: the versions, and the segments with their places in a ring.
@@ -417,31 +315,13 @@
     pub(crate) fn recent_since(&self, since: Duration, now: Duration) -> Segment {
         self.ledger.lock().recent_since(since, now)
     }
+}
 
-    /// Sets the versions that the store has of this gateway; the streams of services of which it has
-    /// all versions of others need not be recorded if there is one only.
-    pub(crate) fn set_stored_versions(&self, versions: &Segment, is_complete: bool) {
-        self.ledger.lock().set_unstored(!is_complete);
-        let rows = versions.rows.iter();
-        let rows = rows.map(|row| (row.service.clone(), row.version.clone()));
-        *self.stored_versions.lock() = Arc::new(rows.collect());
-    }
-
-    /// Whether the store has the versions of all streams of a segment of this gateway. Those of streams
-    /// that it lacks are unknown then, and not taken for those of another version.
-    pub(crate) fn has_stored(&self, streams: &Segment) -> bool {
-        let stored = self.stored_versions();
-        let is_stored = |row: &Row| {
-            let key = (row.service.as_str(), row.version.as_str());
-            let find = |other: &(String, String)| (other.0.as_str(), other.1.as_str()).cmp(&key);
-            stored.binary_search_by(find).is_ok()
-        };
-        streams.rows.iter().all(is_stored)
-    }
-
-    /// Returns the versions that the store has of this gateway, sorted by service and version. New
-    /// streams begin there: to other gateways it looks as if this one used no other version.
-    pub(crate) fn stored_versions(&self) -> Arc<Vec<(String, String)>> {
-        Arc::clone(&self.stored_versions.lock())
-    }
+/// A loss of journals.
+#[derive(Debug, Clone, Copy)]
+struct Lost {
+    /// When the store went away, as far as this gateway knows.
+    since: Duration,
+    /// When the loss was noticed.
+    at: Duration,
 }
--- /dev/null
+++ b/crates/gateway/src/origins/own_journal.rs
@@ -0,0 +1,68 @@
+//! What the store has of this gateway.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+use parking_lot::Mutex;
+use policy::origin::Row;
+use policy::origin::Segment;
+use services::store::Entry;
+
+/// The journal of this process, as far as the store has it.
+#[derive(Debug, Default)]
+pub(crate) struct OwnJournal {
+    /// Sorted by service and version; empty if the store has none.
+    versions: Mutex<Arc<Vec<(String, String)>>>,
+    /// Common prefix of its keys, once they are written.
+    prefix: Mutex<Option<String>>,
+    /// Whether the store may have lost it.
+    is_doubtful: AtomicBool,
+}
+
+impl OwnJournal {
+    /// Records that the store has it.
+    pub(crate) fn set(&self, prefix: &str, versions: &Segment) {
+        let rows = versions.rows.iter();
+        let rows = rows.map(|row| (row.service.clone(), row.version.clone()));
+        *self.versions.lock() = Arc::new(rows.collect());
+        *self.prefix.lock() = Some(prefix.to_owned());
+    }
+
+    /// Records that the store has lost it.
+    pub(crate) fn clear(&self) {
+        *self.versions.lock() = Arc::default();
+    }
+
+    /// Returns its versions, sorted by service and version. New streams begin there: to other gateways it
+    /// looks as if this one used no other version.
+    pub(crate) fn versions(&self) -> Arc<Vec<(String, String)>> {
+        Arc::clone(&self.versions.lock())
+    }
+
+    /// Whether it has the versions of all streams of a segment of this gateway. Streams that the store
+    /// lacks are unknown then, and not taken for those of another version.
+    pub(crate) fn has_versions(&self, streams: &Segment) -> bool {
+        let versions = self.versions();
+        let has = |row: &Row| {
+            let key = (row.service.as_str(), row.version.as_str());
+            let find = |other: &(String, String)| (other.0.as_str(), other.1.as_str()).cmp(&key);
+            versions.binary_search_by(find).is_ok()
+        };
+        streams.rows.iter().all(has)
+    }
+
+    /// Checks whether its keys are among all that the store has. Returns whether they have gone.
+    pub(crate) fn check(&self, entries: &[Entry]) -> bool {
+        let prefix = self.prefix.lock().clone();
+        let has_key = |prefix: String| entries.iter().any(|entry| entry.key.starts_with(&prefix));
+        let is_gone = prefix.is_some_and(|prefix| !has_key(prefix));
+        self.is_doubtful.fetch_or(is_gone, Ordering::SeqCst);
+        is_gone
+    }
+
+    /// Whether the store may have lost it since the last call.
+    pub(crate) fn take_doubt(&self) -> bool {
+        self.is_doubtful.swap(false, Ordering::SeqCst)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/origins/reading.rs
@@ -0,0 +1,14 @@
+//! Results of reads of the store.
+
+use std::sync::Arc;
+
+use crate::origins::Stored;
+
+/// Result of a read of the store.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Reading {
+    /// The last read that it answers.
+    pub(crate) number: u64,
+    /// What all gateways have stored; `None` if the store could not be read.
+    pub(crate) stored: Option<Arc<Stored>>,
+}
--- /dev/null
+++ b/crates/gateway/src/origins/recording.rs
@@ -0,0 +1,107 @@
+//! How far streams are recorded elsewhere than in this process.
+
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tokio::sync::Notify;
+use tokio::time::timeout;
+
+use crate::origins::progress::Progress;
+
+/// Longest time for which the first events of a stream are held back until both the store and another
+/// gateway have its version. It is short against the time to a first token.
+const HOLD_TIMEOUT: Duration = Duration::from_millis(60);
+
+/// Longest time after that until one of them has it. A client that waits longer does better to begin
+/// the stream at another gateway.
+const SECURE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time after a stream could not be recorded in which no other one begins: the store is tried again
+/// once a second.
+const UNSECURED_PAUSE: Duration = Duration::from_millis(1_000);
+
+/// How far the streams that others have to know are recorded elsewhere: in the store, and at other
+/// gateways. Their first events are held back for that. See `docs/decisions/versions.md`.
+#[derive(Debug, Default)]
+pub(crate) struct Recording {
+    /// Number of the last stream.
+    last: AtomicU64,
+    /// How far the streams are stored.
+    pub(crate) stored: Progress,
+    /// How far the streams are replicated to other gateways.
+    pub(crate) replicated: Progress,
+    /// Whether tasks store and replicate streams. Where none does, streams don't wait for them.
+    is_kept: AtomicBool,
+    /// Whether the last write of streams failed, or takes long.
+    is_failing: AtomicBool,
+    /// Until this time no stream begins that has to be recorded.
+    paused_until: Mutex<Duration>,
+    /// Signals that there is something to replicate.
+    pub(crate) has_recent: Notify,
+}
+
+impl Recording {
+    /// Numbers a stream that has to be recorded.
+    pub(crate) fn add(&self) -> u64 {
+        let number = self.last.fetch_add(1, Ordering::SeqCst) + 1;
+        self.has_recent.notify_one();
+        number
+    }
+
+    /// Returns the number of the last stream.
+    pub(crate) fn last(&self) -> u64 {
+        self.last.load(Ordering::SeqCst)
+    }
+
+    /// Waits until a stream is recorded elsewhere. Returns whether it is; if not, no other stream begins
+    /// for a while.
+    pub(crate) async fn wait(&self, number: u64, now: Duration) -> bool {
+        let tried = async {
+            self.stored.wait_tried(number).await;
+            self.replicated.wait_tried(number).await;
+        };
+        let _ = timeout(HOLD_TIMEOUT, tried).await;
+        if !self.is_kept.load(Ordering::SeqCst) {
+            return true;
+        }
+        let done = async {
+            tokio::select! {
+                () = self.stored.wait_done(number) => {}
+                () = self.replicated.wait_done(number) => {}
+            }
+        };
+        let is_done = timeout(SECURE_TIMEOUT, done).await.is_ok();
+        let failed_at = now + HOLD_TIMEOUT + SECURE_TIMEOUT;
+        *self.paused_until.lock() =
+            if is_done { Duration::ZERO } else { failed_at + UNSECURED_PAUSE };
+        is_done
+    }
+
+    /// Returns how long no stream begins that has to be recorded, as the last one could not be; `None`
+    /// if streams begin.
+    pub(crate) fn paused_for(&self, now: Duration) -> Option<Duration> {
+        let left = self.paused_until.lock().saturating_sub(now);
+        (!left.is_zero()).then_some(left)
+    }
+
+    /// Lets streams wait for the tasks that store and replicate them.
+    pub(crate) fn set_kept(&self) {
+        self.is_kept.store(true, Ordering::SeqCst);
+    }
+
+    /// Sets whether the last write of streams failed, or takes long. If so, those that were replicated
+    /// lately are replicated once more, as others have to store them.
+    pub(crate) fn set_failing(&self, is_failing: bool) {
+        if !self.is_failing.swap(is_failing, Ordering::SeqCst) && is_failing {
+            self.has_recent.notify_one();
+        }
+    }
+
+    /// Whether the last write of streams failed, or takes long, so that others have to store them.
+    pub(crate) fn is_failing(&self) -> bool {
+        self.is_failing.load(Ordering::SeqCst)
+    }
+}
--- a/crates/gateway/src/peer/follower.rs
+++ b/crates/gateway/src/peer/follower.rs
@@ -62,7 +62,7 @@
                 Ok(Delta::Lost) => {
                     log::info!(relay = relay.vm.as_str(), prefix = after.prefix.as_str();
                         "the relay has lost the store");
-                    peers.set_store_lost();
+                    peers.presence().set(true, peers.routing().now());
                     peers.relay_failed(Duty::Store, &relay.vm);
                 }
                 Err(error) => {
--- a/crates/gateway/src/peer/peers.rs
+++ b/crates/gateway/src/peer/peers.rs
@@ -2,8 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use futures_util::FutureExt;
@@ -34,6 +32,7 @@
 use crate::peer::Member;
 use crate::peer::Mirror;
 use crate::peer::Own;
+use crate::peer::Presence;
 
 /// Most addresses of other peers in an answer, so that it stays small in a large fleet.
 const MAX_ADDRESSES: usize = 8;
@@ -66,9 +65,7 @@
     /// Number of restores of the store that this gateway knows of; `None` before its first read.
     restores: watch::Sender<Option<u64>>,
     /// Whether the store is away, as far as this gateway or its relay knows.
-    is_store_lost: AtomicBool,
-    /// Number of times that the store has answered again after it was away.
-    returns: watch::Sender<u64>,
+    presence: Presence,
     routing: Arc<Routing>,
     /// Writes per second that the store allows to all gateways together.
     writes_per_s: f64,
@@ -97,8 +94,7 @@
             exchange: Mutex::new(Exchange::new(&own.vm, incarnation)),
             changed: watch::Sender::default(),
             restores: watch::Sender::default(),
-            is_store_lost: AtomicBool::default(),
-            returns: watch::Sender::default(),
+            presence: Presence::default(),
             own,
             routing,
             writes_per_s: DEFAULT_WRITES_PER_S,
@@ -255,8 +251,8 @@
             change(&mut mirror);
             (mirror.restores(), !mirror.lost().is_empty())
         };
-        if self.is_store_lost.swap(is_lost, Ordering::SeqCst) && !is_lost {
-            self.set_returned();
+        if self.presence.set(is_lost, self.routing.now()) {
+            self.routing.origins().changed.notify_one();
         }
         self.changed.send_replace(());
         self.restores.send_if_modified(|known| {
@@ -266,25 +262,9 @@
         });
     }
 
-    /// Whether the store is away, as far as this gateway or its relay knows.
-    pub(crate) fn is_store_lost(&self) -> bool {
-        self.is_store_lost.load(Ordering::SeqCst)
-    }
-
-    /// Records that a relay has lost the store. That it answers again shows with the next changes.
-    pub(crate) fn set_store_lost(&self) {
-        self.is_store_lost.store(true, Ordering::SeqCst);
-    }
-
-    /// Has all tasks that keep keys in the store check whether it still has them.
-    pub(crate) fn set_returned(&self) {
-        self.returns.send_modify(|returns| *returns += 1);
-        self.routing.origins().changed.notify_one();
-    }
-
-    /// Subscribes to the number of times that the store has answered again after it was away.
-    pub(crate) fn subscribe_returns(&self) -> watch::Receiver<u64> {
-        self.returns.subscribe()
+    /// Returns whether the store is away.
+    pub(crate) fn presence(&self) -> &Presence {
+        &self.presence
     }
 
     /// Subscribes to the number of restores of the store that this gateway knows of.
--- a/crates/gateway/src/peer/registration.rs
+++ b/crates/gateway/src/peer/registration.rs
@@ -112,7 +112,7 @@
             let has_changed = restores.has_restored() | returns.has_returned();
             match listed {
                 // The list may lack gateways that have not registered again.
-                Ok(_) if has_changed || peers.is_store_lost() => {
+                Ok(_) if has_changed || peers.presence().is_away() => {
                     sleep(RETURN_PAUSE).await;
                     interval = MIN_LOOKUP_INTERVAL;
                     continue;
@@ -120,7 +120,7 @@
                 Ok(_) if was_listed && !is_listed => {
                     log::warn!("the registration of this gateway is missing");
                     was_listed = false;
-                    peers.set_returned();
+                    peers.presence().set_returned(None);
                     continue;
                 }
                 Ok(entries) => {
--- a/crates/gateway/src/peer/replicator.rs
+++ b/crates/gateway/src/peer/replicator.rs
@@ -47,14 +47,14 @@
     pub(crate) async fn replicate(&self) -> bool {
         let routing = self.peers.routing();
         let now = routing.now();
-        let is_failing = routing.origins().is_failing();
+        let is_failing = routing.origins().recording.is_failing();
         let sent_until = if is_failing { &self.adopted_until } else { &self.sent_until };
         let streams = routing.origins().recent_since(sent_until.get(), now);
         if streams.rows.is_empty() {
             return true;
         }
         if self.peers.is_alone() {
-            return routing.origins().has_stored(&streams);
+            return routing.origins().journal.has_versions(&streams);
         }
         let witnesses = self.peers.witnesses();
         let has_relay = !self.peers.relays(Duty::Loads).is_empty();
--- a/crates/gateway/src/peer/returns.rs
+++ b/crates/gateway/src/peer/returns.rs
@@ -14,7 +14,7 @@
 impl Returns {
     /// Starts to look out for returns from now on.
     pub(crate) fn new(peers: &Peers) -> Returns {
-        let mut receiver = peers.subscribe_returns();
+        let mut receiver = peers.presence().subscribe();
         receiver.borrow_and_update();
         Returns { receiver }
     }
--- a/crates/gateway/src/peer/streams.rs
+++ b/crates/gateway/src/peer/streams.rs
@@ -78,7 +78,9 @@
 async fn read(store: &dyn Store, origins: &Origins) -> Option<Stored> {
     match timeout(READ_TIMEOUT, store.list(PREFIX)).await {
         Ok(Ok(entries)) => {
-            origins.check_journal(&entries);
+            if origins.journal.check(&entries) {
+                origins.changed.notify_one();
+            }
             Some(journals::decode(&entries))
         }
         Ok(Err(error)) => {
@@ -108,7 +110,7 @@
         written: Vec::new(),
     };
     let origins = peers.routing().origins();
-    let (mut knows_others, mut lost) = (false, None);
+    let (mut knows_others, mut lost, mut away_since) = (false, None, None);
     loop {
         let routing = peers.routing();
         let _ = timeout(IDLE_INTERVAL, origins.changed.notified()).await;
@@ -117,36 +119,39 @@
             writer.set_restores(restores.known().unwrap_or_default(), routing.now());
         }
         if returns.has_returned() {
+            away_since = peers.presence().last_away();
             // Leases may have ended while the store was away. Not all gateways ask at the same time.
             writer.is_doubtful = true;
             sleep(write_interval(peers).mul_f64(rand::rng().random())).await;
         }
-        writer.is_doubtful |= origins.take_doubt();
+        writer.is_doubtful |= origins.journal.take_doubt();
         origins.announce(&routing.endpoints(), routing.now());
         if !knows_others && let Some(stored) = read(store, origins).await {
             // A process that starts late in a rollout knows only the newer version otherwise.
             origins.learn_versions(&stored, routing.now());
             knows_others = true;
         }
-        let number = origins.recorded();
+        let number = origins.recording.last();
         let (versions, segments) = origins.to_store(routing.now());
         let replicas = origins.replicas_to_store(writer.has_lost(routing.now()), routing.now());
         if versions.rows.is_empty() {
             continue;
         }
         let write = writer.write(&versions, &segments, &replicas, routing.now());
-        let outcome = watch(write, || origins.set_failing(true)).await;
-        origins.set_failing(outcome.is_err());
-        origins.stored.set(number, outcome.is_ok());
+        let outcome = watch(write, || origins.recording.set_failing(true)).await;
+        origins.recording.set_failing(outcome.is_err());
+        origins.recording.stored.set(number, outcome.is_ok());
         if writer.lost > lost {
             lost = writer.lost;
-            origins.set_lost(routing.now());
+            origins.set_lost(away_since.unwrap_or(routing.now()), routing.now());
+        }
+        if !writer.is_doubtful {
+            away_since = None;
         }
         match outcome {
             Ok(history) => {
                 writer.set_restores(history, routing.now());
-                origins.set_journal(&writer.process);
-                origins.set_stored_versions(&versions, knows_others);
+                origins.set_stored(&writer.process, &versions, knows_others);
             }
             Err(error) => log::info!("the streams of this gateway were not stored: {error}"),
         }
@@ -170,13 +175,13 @@
     let replicator = Replicator::new(peers);
     let origins = peers.routing().origins();
     loop {
-        origins.has_recent.notified().await;
-        let number = origins.recorded();
+        origins.recording.has_recent.notified().await;
+        let number = origins.recording.last();
         let is_done = replicator.replicate().await;
-        origins.replicated.set(number, is_done);
+        origins.recording.replicated.set(number, is_done);
         if !is_done {
             // The streams wait for another attempt.
-            origins.has_recent.notify_one();
+            origins.recording.has_recent.notify_one();
         }
         sleep(write_interval(peers)).await;
     }
--- a/crates/policy/src/origin/loss.rs
+++ b/crates/policy/src/origin/loss.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use crate::origin::LOST_JOURNALS_TIME;
-use crate::origin::SETTLE_TIME;
 use crate::origin::Segment;
 
 /// A loss of journals: their leases ended while the store was away, or it came back from a copy.
@@ -14,14 +13,11 @@
 pub struct Loss {
     /// Time since it was noticed.
     pub age: Duration,
-    /// The versions that were announced until then, and shortly after it.
+    /// The versions that were announced before the store went away.
     pub versions: Segment,
 }
 
 impl Loss {
-    /// Time after a loss until which a version may be announced that was in use before it.
-    pub const SETTLE_TIME: Duration = SETTLE_TIME;
-
     /// Time after which the streams of processes that ended before it are over.
     pub const MAX_AGE: Duration = LOST_JOURNALS_TIME;
 
