Give a red soak test a name of its own, and check the names first

The soak test has another name now, without a change of what it checks. The record of a request that no client sent has its head, since the red test saw such requests without an id and nothing tells who sent them.

--- a/crates/fleet/tests/soak/endpoint.rs
+++ b/crates/fleet/tests/soak/endpoint.rs
@@ -119,7 +119,7 @@
         }
         let path = head.split(' ').nth(1).unwrap_or_default();
         if !path.starts_with("/v") {
-            ledger.record_run(&id);
+            ledger.record_run(&id, head);
         }
         match (Kind::of(path).is_stream(), behaviour) {
             (_, Behaviour::Reset) => {
--- a/crates/fleet/tests/soak/ledger.rs
+++ b/crates/fleet/tests/soak/ledger.rs
@@ -58,13 +58,14 @@
         self.0.lock().entries.insert(id.to_owned(), entry);
     }
 
-    pub fn record_run(&self, id: &str) {
+    /// Records that an endpoint ran a request, of which a violation shows the head.
+    pub fn record_run(&self, id: &str, head: &str) {
         let mut state = self.0.lock();
         match state.entries.get_mut(id) {
             Some(entry) => entry.runs += 1,
             None => state
                 .violations
-                .push(format!("{id}: an endpoint ran a request that no client sent")),
+                .push(format!("{id}: an endpoint ran a request that no client sent: {head:?}")),
         }
     }
 
--- a/crates/fleet/tests/soak/main.rs
+++ b/crates/fleet/tests/soak/main.rs
@@ -46,7 +46,7 @@
 }
 
 #[tokio::test]
-async fn a_gateway_that_the_store_turns_away_follows_its_peers() {
+async fn no_promise_is_broken_while_the_store_turns_a_gateway_away() {
     for mode in [Mode::Reset, Mode::Blackhole] {
         let broken = store_partition::run(mode).await;
         assert!(broken.is_empty(), "{mode:?}: {}", broken.join("\n"));
--- a/xtask/src/ci.rs
+++ b/xtask/src/ci.rs
@@ -28,6 +28,7 @@
     cargo::run(&["clippy", "--workspace", "--all-targets", "--", "--deny", "warnings"])?;
     build::run(false)?;
     let known = read_known_red(&root)?;
+    red::check(&known)?;
     let test = [&["test", "--workspace"][..], &red::skip_args(&known)].concat();
     cargo::run(&test)?;
     red::run(&known)?;
--- a/xtask/src/red.rs
+++ b/xtask/src/red.rs
@@ -2,7 +2,8 @@
 //!
 //! `ci` skips these tests in the main run and runs each of them on its own. It
 //! prints their outcomes, which don't affect the result. Only an entry that
-//! names no test, or several, is an error, since it could hide a failure.
+//! names no test, or several, is an error, since it could hide a failure; it is
+//! found before the main run, which takes minutes.
 
 use std::collections::BTreeSet;
 
@@ -49,6 +50,36 @@
     ["--", "--exact"].into_iter().chain(skips).collect()
 }
 
+/// Checks that each entry names exactly one test of the workspace.
+///
+/// # Errors
+///
+/// [`Error::RedStale`] or [`Error::RedAmbiguous`] for the first entry that doesn't,
+/// [`Error::Command`] if the tests can't be built, [`Error::Start`] if cargo can't be run.
+pub fn check(entries: &[Entry]) -> Result<(), Error> {
+    if entries.is_empty() {
+        return Ok(());
+    }
+    let args = ["test", "--workspace", "--", "--list"];
+    let output = cargo::output(&args)?;
+    if !output.status.success() {
+        return Err(Error::Command(format!("cargo {}", args.join(" "))));
+    }
+    check_names(entries, &String::from_utf8_lossy(&output.stdout))
+}
+
+/// Checks that each entry names exactly one test of a list as `--list` prints it.
+///
+/// # Errors
+///
+/// [`Error::RedStale`] or [`Error::RedAmbiguous`] for the first entry that doesn't.
+pub fn check_names(entries: &[Entry], list: &str) -> Result<(), Error> {
+    let tests: Vec<&str> = list.lines().filter_map(|line| line.strip_suffix(": test")).collect();
+    entries.iter().try_for_each(|entry| {
+        check_count(entry, tests.iter().filter(|test| **test == entry.test).count())
+    })
+}
+
 /// Runs each listed test on its own and prints its outcome.
 ///
 /// # Errors
@@ -73,11 +104,7 @@
 /// [`Error::RedStale`] or [`Error::RedAmbiguous`] if the output doesn't show
 /// exactly one test.
 pub fn report(entry: &Entry, output: &str, success: bool) -> Result<String, Error> {
-    match tests_run(output) {
-        0 => return Err(Error::RedStale(entry.test.clone())),
-        1 => {}
-        count => return Err(Error::RedAmbiguous(entry.test.clone(), count)),
-    }
+    check_count(entry, tests_run(output))?;
     let outcome = if success {
         "passed this time; remove its entry once it is mended"
     } else {
@@ -87,6 +114,14 @@
     Ok(format!("ci: known red: {test}: {outcome} (seen: {seen}; {command}; {issue})"))
 }
 
+fn check_count(entry: &Entry, count: usize) -> Result<(), Error> {
+    match count {
+        0 => Err(Error::RedStale(entry.test.clone())),
+        1 => Ok(()),
+        count => Err(Error::RedAmbiguous(entry.test.clone(), count)),
+    }
+}
+
 fn parse_entry(text: &str) -> Option<Entry> {
     let parts: Vec<&str> = text.split('|').map(str::trim).collect();
     let [test, command, seen, issue] = parts[..] else {
--- a/xtask/tests/red.rs
+++ b/xtask/tests/red.rs
@@ -97,3 +97,19 @@
         ],
     );
 }
+
+/// Guards against a run of all tests that ends in an error only after minutes.
+#[test]
+fn an_entry_that_names_no_test_or_two_is_found_in_the_list_of_all_tests() {
+    let outcome = |list: &str| match red::check_names(&[entry()], list) {
+        Ok(()) => "ok".to_owned(),
+        Err(error) => error.to_string(),
+    };
+    expect!["ok"].assert_eq(&outcome("late_answer: test\na::late_answer: test\n\n2 tests\n"));
+    expect!["KNOWN-RED.txt names `late_answer`, but no test has this name; remove the entry"]
+        .assert_eq(&outcome("a::late_answer: test\nlate_answer: benchmark\n"));
+    expect![
+        "KNOWN-RED.txt names `late_answer`, but 2 tests have this name; give the red one a name of its own"
+    ]
+    .assert_eq(&outcome("late_answer: test\n\n1 test\nlate_answer: test\n"));
+}
