Send no request to a start of an endpoint that is not announced

Cause: only an announcement tells the version of a start, and it may come half a second after the start. The gateway sent requests there meanwhile and recorded the version before, though its connections had shown it that the process of that start had ended. The pause between reads of the store, which the review suspects, only says how long that lasts. Ruled out: a late exchange between gateways (the test has one gateway) and streams that begin after the announcement (they are cut, as they have to be).

Once nothing listens at an endpoint's address it gets no requests until its next start is announced, or until something has listened there for 2.2 s without an announcement: the address was out of reach then. While announcements can be read neither from the store nor from another gateway, none is awaited. `policy::liveness` decides. The check for crashes now also runs for a request that had begun long before, once for all that break off together.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -135,7 +135,7 @@
         Ok(connection) => connection,
         Err(failure) => {
             if matches!(failure, Failure::Refused(_)) {
-                routing.record_crash(endpoint);
+                crash_check::record_end(worker, endpoint);
             }
             return fail(worker, request, endpoint, &failure);
         }
@@ -186,7 +186,7 @@
         routing.record_max_rate(&endpoint.id, reply.max_rate);
     }
     if reply.is_other_endpoint {
-        routing.set_replaced(&endpoint.id);
+        routing.with_directory(|directory, _| directory.set_replaced(&endpoint.id));
         routing.record_crash(endpoint);
     }
     let is_success = status.is_success();
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -3,11 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use policy::liveness::Liveness;
 use route::Endpoint;
 
 use crate::criteria::Criteria;
 use crate::evacuations::Evacuations;
 use crate::history::History;
+use crate::record;
 use crate::removed::Removed;
 use crate::tracked::Tracked;
 
@@ -27,6 +29,8 @@
     pub(crate) seed: u64,
     /// Whether all announcements have been read once.
     is_loaded: bool,
+    /// Whether announcements can be read now, from the store or from other gateways.
+    can_read: bool,
     /// The history of the store from which the endpoints were last read.
     history: History,
     /// Until this time an announcement may be missing only because of an outage of the store.
@@ -45,6 +49,7 @@
         Directory {
             seed,
             is_loaded: false,
+            can_read: true,
             history: History::default(),
             grace_until: Duration::ZERO,
             removed: Removed::default(),
@@ -148,6 +153,59 @@
         self.update(id, |tracked| tracked.is_replaced = true);
     }
 
+    /// Sets whether announcements can be read now. While they can't, none are awaited.
+    pub(crate) fn set_readable(&mut self, can_read: bool) {
+        self.can_read = can_read;
+        if !can_read {
+            self.endpoints.iter_mut().for_each(|tracked| tracked.liveness.stop_waiting());
+        }
+    }
+
+    /// Records that a request broke off at a start of an endpoint. Returns whether a check has to be
+    /// started whether it has ended.
+    pub(crate) fn doubt(&mut self, start: &Endpoint) -> bool {
+        self.liveness(start).is_some_and(Liveness::doubt)
+    }
+
+    /// Records that a check has shown no end of a start of an endpoint.
+    pub(crate) fn clear_doubt(&mut self, start: &Endpoint) {
+        if let Some(liveness) = self.liveness(start) {
+            liveness.clear_doubt();
+        }
+    }
+
+    /// Records that nothing listens at the address of a start of an endpoint, so that it has ended.
+    /// Returns whether that is news.
+    pub(crate) fn end(&mut self, start: &Endpoint) -> bool {
+        let is_new = self.liveness(start).is_some_and(Liveness::end);
+        if is_new {
+            record::ended(start);
+        }
+        is_new
+    }
+
+    /// Whether it is known that a start of an endpoint has ended, and nothing that listens at its
+    /// address again.
+    pub(crate) fn has_ended(&mut self, start: &Endpoint) -> bool {
+        self.liveness(start).is_some_and(|liveness| *liveness == Liveness::Ended)
+    }
+
+    /// Records that something listens again at the address of a start that had ended.
+    pub(crate) fn listen(&mut self, start: &Endpoint, now: Duration) {
+        let can_read = self.can_read;
+        if let Some(liveness) = self.liveness(start) {
+            liveness.listen(can_read, now);
+            record::listening(start, can_read);
+        }
+    }
+
+    /// Returns whether a start of an endpoint runs; `None` if it isn't the one that is known.
+    fn liveness(&mut self, start: &Endpoint) -> Option<&mut Liveness> {
+        let index = self.find(&start.id).ok()?;
+        let tracked = &mut self.endpoints[index];
+        tracked.endpoint.is_same_start(start).then_some(&mut tracked.liveness)
+    }
+
     /// Returns the known endpoints at the address of an announced one that are another start.
     pub(crate) fn ended_before(&self, announced: &Endpoint) -> Vec<Arc<Endpoint>> {
         let known = self.endpoints.iter().map(|tracked| &tracked.endpoint);
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -97,9 +97,14 @@
         // snapshot is the largest message of all, and hundreds of gateways may start together.
         let lost = peers.mirror().lost();
         if lost.is_empty() {
+            routing.with_directory(|directory, _| directory.set_readable(true));
             continue;
         }
-        for snapshot in peer::fetch(peers, &lost).await {
+        let (snapshots, is_current) = peer::fetch(peers, &lost).await;
+        let has_endpoints = lost.iter().all(|cursor| cursor.prefix != endpoints.prefix);
+        let can_read = is_current || has_endpoints;
+        routing.with_directory(|directory, _| directory.set_readable(can_read));
+        for snapshot in snapshots {
             let watcher = if snapshot.prefix == operator.prefix { operator } else { endpoints };
             watcher.adopt(&snapshot);
         }
--- a/crates/gateway/src/peer/fetch.rs
+++ b/crates/gateway/src/peer/fetch.rs
@@ -20,12 +20,12 @@
 /// Time limit for a peer's answer: several round trips between data centres.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Fetches newer snapshots of stale prefixes from peers.
+/// Fetches newer snapshots of stale prefixes from peers, and whether a peer's view is current.
 ///
 /// Returns the snapshots of the first peer whose own view of the store is current. If no peer
 /// has one, returns the newest snapshots among the answers; such peers send snapshots only
 /// of prefixes of which this process knows nothing.
-pub(crate) async fn fetch(peers: &Peers, stale: &[Cursor]) -> Vec<Snapshot> {
+pub(crate) async fn fetch(peers: &Peers, stale: &[Cursor]) -> (Vec<Snapshot>, bool) {
     let mut addresses = peers.addresses();
     addresses.shuffle(&mut rand::rng());
     // The relays read the store before others do, so they are asked first.
@@ -42,7 +42,7 @@
         asked.push(address);
         let Some(answer) = fetch_from(address, stale).await else { continue };
         if answer.is_current {
-            return answer.snapshots;
+            return (answer.snapshots, true);
         }
         addresses.extend(answer.peers);
         if version(&answer.snapshots) > version(&latest) {
@@ -51,7 +51,7 @@
     }
     log::info!(asked:? = asked, snapshots = latest.len();
         "no peer has a current view of the store");
-    latest
+    (latest, false)
 }
 
 /// Returns the highest store version among snapshots; 0 if there are none.
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -204,6 +204,22 @@
         .increment(1);
 }
 
+/// Records that a start of an endpoint has ended, as nothing listens at its address.
+pub(crate) fn ended(endpoint: &Endpoint) {
+    log::warn!(endpoint = &*endpoint.id, address:% = endpoint.address,
+        version = &*endpoint.version, born:? = endpoint.started_ms;
+        "nothing listens at an endpoint's address; its next start has to be announced");
+    counter!("lycheeknot_gateway_ended_endpoints_total", "service" => endpoint.service.to_string())
+        .increment(1);
+}
+
+/// Records that something listens again at the address of an endpoint that had ended, whose start is
+/// awaited if announcements can be read.
+pub(crate) fn listening(endpoint: &Endpoint, is_awaited: bool) {
+    log::info!(endpoint = &*endpoint.id, address:% = endpoint.address,
+        born:? = endpoint.started_ms, is_awaited; "something listens at an endpoint's address again");
+}
+
 /// Records that an endpoint limits the requests of all gateways to another rate than before, in
 /// requests per second, or no longer does. `source` tells from where that is known.
 pub(crate) fn limit(endpoint: &Endpoint, max_rate: Option<f64>, source: &str) {
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -29,6 +29,7 @@
 
 use crate::criteria::Choice;
 use crate::criteria::Criteria;
+use crate::directory::Directory;
 use crate::endpoints::Endpoints;
 use crate::evacuations::Evacuations;
 use crate::evacuations::News;
@@ -351,9 +352,12 @@
         }
     }
 
-    /// Marks an endpoint as replaced by another one at its address.
-    pub(crate) fn set_replaced(&self, id: &str) {
-        self.endpoints.lock().directory.set_replaced(id);
+    /// Reads or changes what is known of single endpoints, at the present time.
+    pub(crate) fn with_directory<T>(
+        &self,
+        change: impl FnOnce(&mut Directory, Duration) -> T,
+    ) -> T {
+        change(&mut self.endpoints.lock().directory, self.now())
     }
 
     /// Records a successful response of an endpoint and its latency.
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -130,6 +130,7 @@
             tracked.endpoint.service == chosen.service
                 && tracked.missing_until.is_none()
                 && !tracked.is_replaced
+                && tracked.liveness.is_running(criteria.now)
                 && !self.ejections.is_failing(&tracked.endpoint)
         };
         let sources: Vec<&Tracked> = self.endpoints.iter().filter(is_source).collect();
--- a/crates/gateway/src/tracked.rs
+++ b/crates/gateway/src/tracked.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use policy::failure_rate::Tally;
+use policy::liveness::Liveness;
 use policy::occupancy::Occupancy;
 use policy::rate_limit::Limiter;
 use policy::slow_start::Announced;
@@ -23,6 +24,8 @@
     pub(crate) occupancy: Occupancy,
     /// Set if its announcement is missing: the endpoint is removed at this time.
     pub(crate) missing_until: Option<Duration>,
+    /// Whether this start still runs.
+    pub(crate) liveness: Liveness,
     /// Whether another endpoint has responded at its address.
     pub(crate) is_replaced: bool,
     /// Its limit of the requests of all gateways, if it names one.
@@ -49,6 +52,7 @@
             endpoint: Arc::new(endpoint),
             occupancy: Occupancy::default(),
             missing_until: None,
+            liveness: Liveness::default(),
             is_replaced: false,
             notice: Notice::default(),
             is_evacuated: false,
@@ -134,6 +138,7 @@
         let endpoint = &self.endpoint;
         *endpoint.service == *criteria.service
             && self.takes_requests()
+            && self.liveness.is_running(criteria.now)
             && criteria.version.is_none_or(|version| *endpoint.version == *version)
             && self.missing_until.is_none_or(|until| criteria.now < until)
             && !criteria.tried.contains(&endpoint.id)
--- a/crates/gateway/tests/sessions/main.rs
+++ b/crates/gateway/tests/sessions/main.rs
@@ -11,6 +11,7 @@
 mod loads;
 mod notices;
 mod requests;
+mod restarts;
 mod silences;
 mod slow_starts;
 mod speeds;
--- /dev/null
+++ b/crates/gateway/tests/sessions/restarts.rs
@@ -0,0 +1,119 @@
+//! Tests of endpoints that end and start again at their addresses.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use socket2::Domain;
+use socket2::Socket;
+use socket2::Type;
+
+use crate::support::client::Client;
+use crate::support::endpoint::Endpoint;
+use crate::support::endpoint::Step;
+use crate::support::fixture::Fixture;
+use crate::support::script::REQUEST_HEADERS;
+use crate::support::script::event;
+use crate::support::script::stream_end;
+use crate::support::script::stream_start;
+use crate::support::script::wait_until;
+
+/// Streams that begin after the endpoint is back: it would get one of them at least.
+const STREAMS: u32 = 24;
+
+/// Guards against a stream that goes on in one response at another version (review/6): it began at a
+/// start of a new version that no announcement had told of yet.
+#[test]
+fn a_stream_begins_at_a_start_of_an_endpoint_that_is_not_announced() {
+    let case = Case::new();
+    case.crash();
+    let again = case.restart();
+    for response in case.streams(0) {
+        assert!(response.ends_with("\n0\n\n"), "{response}");
+        assert!(!response.contains("data: e1"), "{response}");
+    }
+    assert_eq!(again.seen(), Vec::<String>::new());
+
+    case.fixture.announce_restart("model", &again, "v2", 6);
+    let begun = case.streams(STREAMS).into_iter();
+    let at_new: Vec<String> = begun.filter(|response| response.contains("data: e1")).collect();
+    assert!(!at_new.is_empty());
+    // The new start breaks streams off, and no other endpoint has its version.
+    assert!(at_new.iter().all(|it| it.ends_with("data: e1\n\n\n(closed)\n")), "{at_new:?}");
+}
+
+/// Guards against an endpoint that gets no more requests after its address was out of reach.
+#[test]
+fn an_endpoint_gets_no_requests_once_its_address_has_been_out_of_reach() {
+    let case = Case::new();
+    case.crash();
+    let again = case.restart();
+    wait_until(|| {
+        case.streams(0);
+        !again.seen().is_empty()
+    });
+}
+
+/// An endpoint that can crash beside one that doesn't, before a gateway.
+struct Case {
+    address: SocketAddr,
+    fragile: Endpoint,
+    fixture: Fixture,
+    /// Keeps the address from other tests while nothing listens there.
+    _held: Socket,
+}
+
+impl Case {
+    fn new() -> Case {
+        let held = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        held.set_reuse_address(true).expect("a socket option");
+        let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+        held.bind(&any.into()).expect("a free port");
+        let address = held.local_addr().expect("an address").as_socket().expect("an IP address");
+        let fragile = Endpoint::start_fragile_at("e1", address, "bad");
+        let sound = Endpoint::start("e2", vec![vec![stream_start(), event(2), stream_end()]]);
+        let fixture = Fixture::new("model", &[&fragile, &sound]);
+        Case { address, fragile, fixture, _held: held }
+    }
+
+    /// Lets the endpoint crash, and waits until nothing listens at its address and the gateway has
+    /// noticed that.
+    fn crash(&self) {
+        for number in 0..STREAMS {
+            if self.fragile.has_crashed() {
+                break;
+            }
+            stream(self.fixture.address, number, "bad");
+        }
+        assert!(self.fragile.has_crashed());
+        wait_until(|| !self.fragile.is_crashing());
+        thread::sleep(Duration::from_millis(500));
+    }
+
+    /// Starts the endpoint again, which now breaks off each stream after its first event.
+    fn restart(&self) -> Endpoint {
+        let broken = vec![stream_start(), event(1), Step::Pause(30), Step::Close];
+        Endpoint::start_at("e1", self.address, &Arc::new(Mutex::new(vec![broken])))
+    }
+
+    /// Returns the responses to requests that are sent at the same time.
+    fn streams(&self, first: u32) -> Vec<String> {
+        let address = self.fixture.address;
+        let clients = (first..first + STREAMS)
+            .map(|number| thread::spawn(move || stream(address, number, "hi")));
+        let clients: Vec<JoinHandle<String>> = clients.collect();
+        clients.into_iter().map(|client| client.join().expect("a response")).collect()
+    }
+}
+
+/// Sends a request for a stream that may be resumed, and returns the response.
+fn stream(gateway: SocketAddr, number: u32, body: &str) -> String {
+    let headers = REQUEST_HEADERS.replace("r1", &format!("r{number}"));
+    let length = body.len();
+    Client::connect(gateway).exchange(&format!(
+        "POST /tell/{number} HTTP/1.1\r\n{headers}Content-Length: {length}\r\n\r\n{body}"
+    ))
+}
--- a/crates/gateway/tests/sessions/support/endpoint.rs
+++ b/crates/gateway/tests/sessions/support/endpoint.rs
@@ -58,7 +58,8 @@
     /// listens no more.
     pub fn start_fragile(id: &str, part: &str) -> Endpoint {
         let part = part.to_owned();
-        Endpoint::start_crashing(id, move |request| {
+        let address = "127.0.0.1:0".parse().expect("an address");
+        Endpoint::start_crashing(id, address, move |request| {
             let parts = header(request, "x-prefix-hash").unwrap_or_default();
             parts.split(',').any(|entry| entry.split(':').next() == Some(&part))
         })
@@ -67,16 +68,22 @@
     /// Starts an endpoint like that of [`Endpoint::start_fragile`] that crashes by requests with
     /// this body.
     pub fn start_fragile_to(id: &str, body: &str) -> Endpoint {
+        Endpoint::start_fragile_at(id, "127.0.0.1:0".parse().expect("an address"), body)
+    }
+
+    /// Starts an endpoint like that of [`Endpoint::start_fragile_to`] at an address.
+    pub fn start_fragile_at(id: &str, address: SocketAddr, body: &str) -> Endpoint {
         let end = format!("\r\n\r\n{body}");
-        Endpoint::start_crashing(id, move |request| request.ends_with(&end))
+        Endpoint::start_crashing(id, address, move |request| request.ends_with(&end))
     }
 
     /// Starts an endpoint that crashes when it begins to answer a request for which this holds.
     fn start_crashing(
         id: &str,
+        address: SocketAddr,
         is_harmful: impl Fn(&str) -> bool + Send + Sync + 'static,
     ) -> Endpoint {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let listener = TcpListener::bind(address).expect("a free port");
         let address = listener.local_addr().expect("an address");
         let seen = Arc::new(Mutex::new(Vec::new()));
         let endpoint = Endpoint { id: id.to_owned(), address, seen: Arc::clone(&seen) };
@@ -120,7 +127,16 @@
 
     /// Starts an endpoint with scripted responses that the test may change.
     pub fn start_with(id: &str, responses: &Arc<Mutex<Vec<Vec<Step>>>>) -> Endpoint {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        Endpoint::start_at(id, "127.0.0.1:0".parse().expect("an address"), responses)
+    }
+
+    /// Starts an endpoint like that of [`Endpoint::start_with`] at an address.
+    pub fn start_at(
+        id: &str,
+        address: SocketAddr,
+        responses: &Arc<Mutex<Vec<Vec<Step>>>>,
+    ) -> Endpoint {
+        let listener = TcpListener::bind(address).expect("a free port");
         let address = listener.local_addr().expect("an address");
         let seen = Arc::new(Mutex::new(Vec::new()));
         let endpoint = Endpoint { id: id.to_owned(), address, seen: Arc::clone(&seen) };
--- a/crates/gateway/tests/sessions/support/fixture.rs
+++ b/crates/gateway/tests/sessions/support/fixture.rs
@@ -120,7 +120,12 @@
 
     /// Announces another start of an endpoint.
     pub fn announce_start(&self, service: &str, endpoint: &Endpoint, born: u64) {
-        self.routing.set_endpoint(decode(service, endpoint, "ready", "v1", born));
+        self.announce_restart(service, endpoint, "v1", born);
+    }
+
+    /// Announces another start of an endpoint, with a version of its software.
+    pub fn announce_restart(&self, service: &str, endpoint: &Endpoint, version: &str, born: u64) {
+        self.routing.set_endpoint(decode(service, endpoint, "ready", version, born));
     }
 
     /// Whether the server has stopped.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod gossip;
 pub mod home;
 pub mod leadership;
+pub mod liveness;
 pub mod mean;
 pub mod memory;
 pub mod observation;
