Take a stream for one of its endpoint's later start once that is announced

A gateway that has no request at an endpoint while that ends and starts again can't know of it, sends it requests, and records their streams for the version before. When the start broke them off they went on at that version, in the same response and when a client took them up.

Cause: a stream kept the start that was known when its request was sent, also when another one was announced while it ran on. The start before had ended by then, so a piece that is waited for after the announcement, or comes long after it, is of the later start.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -37,6 +37,8 @@
     grace_until: Duration,
     /// Endpoints that were removed lately, which a restored store may still have.
     removed: Removed,
+    /// Number of announced starts that replaced others.
+    pub(crate) restarts: u64,
     /// Sorted by id.
     pub(crate) endpoints: Vec<Tracked>,
     /// Evacuated data centres; [`Directory::evacuate`] also updates the endpoints there.
@@ -53,6 +55,7 @@
             history: History::default(),
             grace_until: Duration::ZERO,
             removed: Removed::default(),
+            restarts: 0,
             endpoints: Vec::new(),
             evacuations: Evacuations::new(REANNOUNCE_TIMEOUT),
         }
@@ -206,6 +209,14 @@
         tracked.endpoint.is_same_start(start).then_some(&mut tracked.liveness)
     }
 
+    /// Returns the start of an endpoint that is known at the address of another start, with the time at
+    /// which it was announced.
+    pub(crate) fn start_of(&self, other: &Endpoint) -> Option<(Arc<Endpoint>, Duration)> {
+        let tracked = &self.endpoints[self.find(&other.id).ok()?];
+        let is_there = tracked.endpoint.address == other.address;
+        is_there.then(|| (Arc::clone(&tracked.endpoint), tracked.since))
+    }
+
     /// Returns the known endpoints at the address of an announced one that are another start.
     pub(crate) fn ended_before(&self, announced: &Endpoint) -> Vec<Arc<Endpoint>> {
         let known = self.endpoints.iter().map(|tracked| &tracked.endpoint);
@@ -225,7 +236,10 @@
             Ok(index) if self.endpoints[index].endpoint.is_same_start(&endpoint) => {
                 self.endpoints[index].update(endpoint, now);
             }
-            Ok(index) => self.endpoints[index] = Tracked::new(endpoint, self.seed, now),
+            Ok(index) => {
+                self.restarts += 1;
+                self.endpoints[index] = Tracked::new(endpoint, self.seed, now);
+            }
             Err(index) => self.endpoints.insert(index, Tracked::new(endpoint, self.seed, now)),
         }
         let (Ok(index) | Err(index)) = index;
@@ -243,6 +257,13 @@
         }
     }
 
+    /// Ends evacuations whose grace time is over, and records the progress of the others.
+    pub(crate) fn settle_evacuations(&mut self, now: Duration) {
+        if !self.evacuations.is_empty() {
+            self.evacuate(|evacuations| evacuations.settle(now), now);
+        }
+    }
+
     /// Whether evacuations alone keep all requests with these criteria from being sent.
     pub(crate) fn is_evacuated(&self, criteria: &Criteria<'_>) -> bool {
         let mut usable = self.endpoints.iter().filter(|it| it.is_usable(criteria)).peekable();
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -78,7 +78,7 @@
         loop {
             sleep(SWEEP_INTERVAL).await;
             routing.remove_missing();
-            routing.settle_evacuations();
+            routing.with_directory(|directory, now| directory.settle_evacuations(now));
         }
     };
     let query = query_peers(&operator, &endpoints);
@@ -306,7 +306,7 @@
     /// Records that a watch has ended: until all keys are read again, no evacuation ends.
     fn suspend(&self) {
         if matches!(self.kind, Kind::Operator) {
-            self.routing.suspend_evacuations();
+            self.routing.with_directory(|directory, _| directory.evacuations.suspend());
         }
     }
 
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -108,12 +108,26 @@
         stream: StreamId,
         now: Duration,
     ) -> bool {
-        let is_recorded = {
-            let mut ledger = self.ledger.lock();
-            ledger.record(&endpoint.service, &endpoint.version, stream, now);
-            ledger.is_recorded(&endpoint.service, now)
-        };
-        if !is_recorded {
+        self.ledger.lock().record(&endpoint.service, &endpoint.version, stream, now);
+        self.secure(endpoint, now).await
+    }
+
+    /// Records that a stream began at another version than was recorded, that of this endpoint, and
+    /// waits as [`Origins::record`] does.
+    pub(crate) async fn correct(
+        &self,
+        endpoint: &Endpoint,
+        stream: StreamId,
+        now: Duration,
+    ) -> bool {
+        self.ledger.lock().correct(&endpoint.service, &endpoint.version, stream, now);
+        self.secure(endpoint, now).await
+    }
+
+    /// Waits until others know the last stream of an endpoint. Returns whether they do, or can tell its
+    /// version otherwise.
+    async fn secure(&self, endpoint: &Endpoint, now: Duration) -> bool {
+        if !self.ledger.lock().is_recorded(&endpoint.service, now) {
             return true;
         }
         let number = self.recording.add();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -34,6 +34,13 @@
 use crate::silences::Stage;
 use crate::worker::Worker;
 
+/// Shortest wait for a piece of a stream that shows that the piece had not been received before.
+const MIN_WAIT: Duration = Duration::from_millis(5);
+
+/// Longest time after the announcement of an endpoint's next start until the end of its streams of the
+/// earlier one is noticed.
+const LATE_END: Duration = Duration::from_millis(250);
+
 /// Relays an event stream to a client, and resumes it at another endpoint if it breaks off.
 ///
 /// Dropping the relay closes the connection to the endpoint, so that it can stop its work.
@@ -47,6 +54,8 @@
     framing: Framing,
     /// Version of the current or last endpoint.
     version: Arc<str>,
+    /// Version that is recorded as that of the stream.
+    recorded: Option<Arc<str>>,
     /// `None` once the stream has ended.
     source: Option<Source>,
     events: Splitter,
@@ -72,6 +81,7 @@
             headers: mem::take(start.response.headers_mut()),
             framing,
             version,
+            recorded: None,
             source: Some(Source::from(start)),
             events: Splitter::default(),
             has_begun: false,
@@ -145,14 +155,23 @@
     /// Records the version that began the stream before its first events are sent, so that it goes
     /// on nowhere else. Returns whether they may be sent.
     async fn record_begin(&mut self) -> bool {
-        let Some(source) = self.source.as_ref().filter(|_| !self.has_begun) else { return true };
+        let Some(source) = self.source.as_ref() else { return true };
+        let version = &source.endpoint.version;
+        if self.recorded.as_ref() == Some(version) {
+            return true;
+        }
         self.has_begun = true;
-        self.attempts.version = Some(Arc::clone(&source.endpoint.version));
+        self.attempts.version = Some(Arc::clone(version));
+        let is_corrected = self.recorded.replace(Arc::clone(version)).is_some();
         let Some(stream) = self.request.stream_id().filter(|_| self.request.is_resumable()) else {
             return true;
         };
         let routing = &self.worker.context.routing;
-        let is_known = routing.origins().record(&source.endpoint, stream, routing.now()).await;
+        let (origins, now) = (routing.origins(), routing.now());
+        if is_corrected {
+            return origins.correct(&source.endpoint, stream, now).await;
+        }
+        let is_known = origins.record(&source.endpoint, stream, now).await;
         // The version of a stream that is taken up was found, so others can find it as well.
         is_known || self.request.metadata.last_event.is_some()
     }
@@ -189,6 +208,7 @@
         let awaited = self.worker.context.routing.now();
         let read = Read::new(timeout_at(self.request.deadline, source.body.frame()).await);
         self.record_pause(awaited, &read);
+        self.follow_restart(awaited, &read);
         Some(read)
     }
 
@@ -208,6 +228,7 @@
         let awaited = self.worker.context.routing.now();
         let mut read = Read::new(timeout_at(until, source.body.frame()).await);
         self.record_pause(awaited, &read);
+        self.follow_restart(awaited, &read);
         if matches!(read, Read::TimedOut) && silent.is_some() {
             if self.may_abandon() {
                 self.record_time(stage, asked.elapsed());
@@ -232,6 +253,36 @@
         }
     }
 
+    /// Takes the stream for one of a later start of its endpoint if that was announced before a piece was
+    /// waited for, or long before it came, since the earlier one had ended by then. The request was sent
+    /// before the announcement, so another version may have begun the stream than was known.
+    fn follow_restart(&mut self, awaited: Duration, read: &Read) {
+        let routing = &self.worker.context.routing;
+        let Some(source) = self.source.as_mut().filter(|_| matches!(read, Read::Data(_))) else {
+            return;
+        };
+        let restarts = Some(routing.restarts());
+        let now = routing.now();
+        // A piece that comes at once may be one that the earlier start had sent.
+        if source.restarts == restarts || now.saturating_sub(awaited) < MIN_WAIT {
+            return;
+        }
+        let start = routing.with_directory(|directory, _| directory.start_of(&source.endpoint));
+        match start {
+            Some((start, _)) if start.is_same_start(&source.endpoint) => {}
+            Some((_, since)) if since >= awaited && now < since + LATE_END => return,
+            Some((start, _)) => {
+                log::info!(id = self.request.id(), endpoint = &*start.id,
+                    from_version = &*self.version, version = &*start.version;
+                    "the stream is of a later start of its endpoint");
+                self.version = Arc::clone(&start.version);
+                source.endpoint = start;
+            }
+            None => {}
+        }
+        source.restarts = restarts;
+    }
+
     /// Sets how long the next event may take.
     fn update_silence_timeout(&mut self) {
         let Some(source) = self.source.as_mut().filter(|source| source.is_sampled()) else {
--- a/crates/gateway/src/relay/source.rs
+++ b/crates/gateway/src/relay/source.rs
@@ -27,6 +27,9 @@
     pub(super) sent: Instant,
     /// Requests that the endpoint had then.
     pub(super) requests: u32,
+    /// Announced starts of endpoints until which the endpoint is known to be the one that sends; `None`
+    /// before the first check.
+    pub(super) restarts: Option<u64>,
     /// Whether events have arrived.
     pub(super) has_events: bool,
     pub(super) pace: Pace,
@@ -59,6 +62,7 @@
             begun: Instant::now(),
             sent,
             requests,
+            restarts: None,
             has_events: false,
             pace: Pace::default(),
             reads: 0,
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -5,6 +5,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
@@ -57,6 +58,8 @@
     silences: Silences,
     /// Number of registered gateways, including this one; 0 while it is not known.
     gateways: AtomicU32,
+    /// Number of announced starts of endpoints that replaced others.
+    restarts: AtomicU64,
 }
 
 impl Default for Routing {
@@ -77,6 +80,7 @@
             origins: Origins::default(),
             silences: Silences::new(options.abandons_silent),
             gateways: AtomicU32::default(),
+            restarts: AtomicU64::default(),
         }
     }
 
@@ -106,6 +110,11 @@
         self.gateways.store(gateways, Ordering::Relaxed);
     }
 
+    /// Returns how many starts of endpoints were announced that replaced others.
+    pub(crate) fn restarts(&self) -> u64 {
+        self.restarts.load(Ordering::Relaxed)
+    }
+
     /// Waits until both the configuration and the endpoints are known; checks at this interval.
     pub async fn wait_until_complete(&self, interval: Duration) {
         while !self.is_complete() {
@@ -132,6 +141,7 @@
         let endpoints = known.directory.without_outdated(endpoints, restores, self.now());
         endpoints.iter().for_each(|endpoint| self.record_ended(&known, endpoint));
         known.directory.set_all(endpoints, restores, after_outage, self.now());
+        self.restarts.store(known.directory.restarts, Ordering::Relaxed);
         self.origins.changed.notify_one();
     }
 
@@ -145,6 +155,7 @@
         let mut endpoints = self.endpoints.lock();
         self.record_ended(&endpoints, &endpoint);
         endpoints.directory.put(endpoint, self.now());
+        self.restarts.store(endpoints.directory.restarts, Ordering::Relaxed);
         self.origins.changed.notify_one();
     }
 
@@ -205,20 +216,6 @@
         self.endpoints.lock().directory.evacuate(apply, now);
     }
 
-    /// Records that the store can't be read: until it can be again, no evacuation ends.
-    pub(crate) fn suspend_evacuations(&self) {
-        self.endpoints.lock().directory.evacuations.suspend();
-    }
-
-    /// Ends evacuations whose grace time is over, and records the progress of the others.
-    pub(crate) fn settle_evacuations(&self) {
-        let now = self.now();
-        let mut endpoints = self.endpoints.lock();
-        if !endpoints.directory.evacuations.is_empty() {
-            endpoints.directory.evacuate(|evacuations| evacuations.settle(now), now);
-        }
-    }
-
     /// Returns the evacuated data centres, sorted.
     pub fn evacuated(&self) -> Vec<Arc<str>> {
         self.endpoints.lock().directory.evacuations.centres()
--- a/crates/gateway/src/tracked.rs
+++ b/crates/gateway/src/tracked.rs
@@ -21,6 +21,8 @@
 #[derive(Debug)]
 pub(crate) struct Tracked {
     pub(crate) endpoint: Arc<Endpoint>,
+    /// When this start was announced.
+    pub(crate) since: Duration,
     pub(crate) occupancy: Occupancy,
     /// Set if its announcement is missing: the endpoint is removed at this time.
     pub(crate) missing_until: Option<Duration>,
@@ -50,6 +52,7 @@
             limiter: Limiter::new(start_id(&endpoint), seed),
             throttle,
             endpoint: Arc::new(endpoint),
+            since: now,
             occupancy: Occupancy::default(),
             missing_until: None,
             liveness: Liveness::default(),
--- a/crates/gateway/tests/sessions/restarts.rs
+++ b/crates/gateway/tests/sessions/restarts.rs
@@ -57,6 +57,40 @@
     });
 }
 
+/// Guards against the same at a gateway that could not notice the end of the start before, and against
+/// a client that takes the stream up at the version before.
+#[test]
+fn a_stream_whose_start_is_announced_later_goes_on_at_the_version_before() {
+    let events = (1..=4).flat_map(|number| [event(number), Step::Pause(200)]);
+    let broken = [stream_start()].into_iter().chain(events).chain([Step::Close]).collect();
+    let rest = vec![stream_start(), event(5), stream_end()];
+    let again = Endpoint::start("e1", vec![broken, rest.clone()]);
+    let sound = Endpoint::start("e2", vec![rest]);
+    let fixture = Fixture::new("model", &[&again, &sound]);
+    for number in 0..STREAMS {
+        let address = fixture.address;
+        let client = thread::spawn(move || stream(address, number, "hi"));
+        wait_until(|| !again.seen().is_empty() || client.is_finished());
+        if again.seen().is_empty() {
+            client.join().expect("a response");
+            continue;
+        }
+        fixture.announce_restart("model", &again, "v2", 6);
+        let response = client.join().expect("a response");
+        assert!(response.ends_with("data: e4\n\n\n(closed)\n"), "{response}");
+
+        let seen = sound.seen().len();
+        let headers = REQUEST_HEADERS.replace("r1", "s1");
+        let response = Client::connect(address).exchange(&format!(
+            "POST /tell/1 HTTP/1.1\r\n{headers}Last-Event-Id: 4\r\nResumes: r{number}\r\nContent-Length: 2\r\n\r\nhi"
+        ));
+        assert!(response.ends_with("\n0\n\n"), "{response}");
+        assert_eq!((again.seen().len(), sound.seen().len()), (2, seen));
+        return;
+    }
+    panic!("no stream began at the endpoint that started again");
+}
+
 /// An endpoint that can crash beside one that doesn't, before a gateway.
 struct Case {
     address: SocketAddr,
--- a/crates/policy/src/origin/ledger.rs
+++ b/crates/policy/src/origin/ledger.rs
@@ -107,17 +107,33 @@
         segment
     }
 
-    /// Records streams that another gateway has replicated.
+    /// Records streams that another gateway has replicated. It may have corrected a version since.
     pub fn learn(&mut self, segment: &Segment, now: Duration) {
         for row in &segment.rows {
             for stream in &row.streams {
-                if self.find(&row.service, *stream).is_none() {
-                    self.add(&row.service, &row.version, *stream, now);
+                let known = self.find(&row.service, *stream);
+                if known == Some(&row.version) {
+                    continue;
                 }
+                if known.is_some() {
+                    self.remove(&row.service, *stream);
+                }
+                self.add(&row.service, &row.version, *stream, now);
             }
         }
     }
 
+    /// Records that a stream began at another version than was recorded.
+    pub fn correct(&mut self, service: &str, version: &str, stream: StreamId, now: Duration) {
+        self.remove(service, stream);
+        self.record(service, version, stream, now);
+    }
+
+    fn remove(&mut self, service: &str, stream: StreamId) {
+        self.segments.iter_mut().for_each(|(_, segment)| segment.remove(service, stream));
+        self.recent.retain(|(_, it)| it.id != stream || it.service != service);
+    }
+
     /// Records the version that began a stream.
     pub fn record(&mut self, service: &str, version: &str, stream: StreamId, now: Duration) {
         self.add(service, version, stream, now);
--- a/crates/policy/src/origin/segment.rs
+++ b/crates/policy/src/origin/segment.rs
@@ -47,6 +47,13 @@
         self.row(service, version).streams.push(stream);
     }
 
+    /// Removes a stream of a service from all versions.
+    pub(crate) fn remove(&mut self, service: &str, stream: StreamId) {
+        for row in self.rows.iter_mut().filter(|row| row.service == service) {
+            row.streams.retain(|id| *id != stream);
+        }
+    }
+
     /// Returns the row of a version, which is added if it is new.
     pub(crate) fn row(&mut self, service: &str, version: &str) -> &mut Row {
         let key = (service, version);
--- a/crates/policy/tests/origin.rs
+++ b/crates/policy/tests/origin.rs
@@ -281,6 +281,27 @@
     assert_eq!(streams.map(|row| row.streams.len()).sum::<usize>(), 1);
 }
 
+/// Guards against a stream that is taken up at the version that was known when it began, at any gateway:
+/// its endpoint had started again with another one.
+#[test]
+fn a_stream_whose_version_was_corrected_is_known_at_the_one_before() {
+    for corrected_at in [at(2), at(9)] {
+        let (mut ledger, mut hub) = (Ledger::default(), Ledger::default());
+        ledger.announce("model", "v2", at(1));
+        ledger.record("model", "v1", 5, at(1));
+        ledger.record("model", "v1", 6, at(1));
+        hub.learn(&ledger.recent_since(at(0), at(1)), at(1));
+        assert_eq!(hub.find("model", 5), Some("v1"));
+        ledger.correct("model", "v2", 5, corrected_at);
+        hub.learn(&ledger.recent_since(at(0), corrected_at), corrected_at);
+        let stored = stored(&ledger, corrected_at);
+        assert_eq!(resolve(&stored, "model", 5), Some("v2"));
+        assert_eq!(resolve(&stored, "model", 6), Some("v1"));
+        assert_eq!((ledger.find("model", 5), hub.find("model", 5)), (Some("v2"), Some("v2")));
+        assert_eq!(hub.find("model", 6), Some("v1"));
+    }
+}
+
 #[test]
 fn segments_take_their_places_again_and_keep_what_clients_come_back_for() {
     let mut ledger = Ledger::default();
