Leave out an endpoint while it is checked whether it has ended

Callers got 502 for requests that may not be repeated, right after an endpoint had crashed: its listener takes connections a little longer than its process serves them, and what is sent there may have run.

Cause: a request that breaks off has the gateway check within 220 ms whether the endpoint has ended, but the choice of endpoints didn't know of the check. Endpoints in doubt are left out now as long as others have a free slot.

--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -6,6 +6,7 @@
 
 use policy::choice;
 use policy::failure_rate;
+use policy::liveness::Liveness;
 use policy::popularity::Popularity;
 use route::Endpoint;
 
@@ -78,12 +79,18 @@
         due.map(|tracked| Arc::clone(&tracked.endpoint))
     }
 
-    /// Returns the endpoints to which a request may be sent now and that aren't ejected.
+    /// Returns the endpoints to which a request may be sent now and that aren't ejected. Those that may
+    /// just have ended are left out as long as others have room.
     fn healthy(&self, criteria: &Criteria<'_>, now: Duration) -> Vec<&Tracked> {
         let available: Vec<&Tracked> =
             self.endpoints.iter().filter(|tracked| tracked.is_available(criteria)).collect();
         let mut healthy = self.ejections.without_ejected(criteria.service, available, now);
         healthy.retain(|tracked| tracked.has_permit());
+        // The listener of a process that ends may take connections a little longer than it serves them.
+        let is_doubtful = |tracked: &&Tracked| tracked.liveness == Liveness::Doubtful;
+        if healthy.iter().any(|it| !is_doubtful(it) && it.has_free_slot(now)) {
+            healthy.retain(|tracked| !is_doubtful(tracked));
+        }
         healthy
     }
 
--- a/crates/gateway/tests/sessions/crashes.rs
+++ b/crates/gateway/tests/sessions/crashes.rs
@@ -1,7 +1,9 @@
 //! Tests of requests that crash each endpoint that begins to answer them.
 
+use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::thread;
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 use gateway::Member;
@@ -111,15 +113,15 @@
             .collect();
         let fixture = Fixture::new("plain", &endpoints.iter().collect::<Vec<_>>());
         for number in 0..12 {
-            plain_request(&fixture, route, "bad");
+            plain_request(fixture.address, route, "bad");
             await_crashes(&endpoints);
             thread::sleep(Duration::from_millis(100));
-            let sound = plain_request(&fixture, route, &format!("{number}"));
+            let sound = plain_request(fixture.address, route, &format!("{number}"));
             assert!(sound.starts_with("HTTP/1.1 200 "), "{route}: {sound}");
         }
         let crashed = endpoints.iter().filter(|endpoint| endpoint.has_crashed()).count();
         assert!(crashed <= MAX_CRASHES_BY_ONE, "{route}: {crashed} endpoints crashed");
-        let response = plain_request(&fixture, route, "bad");
+        let response = plain_request(fixture.address, route, "bad");
         assert!(response.starts_with("HTTP/1.1 503 "), "{route}: {response}");
         assert!(response.contains("retry-after: "), "{route}: {response}");
     }
@@ -164,15 +166,15 @@
     let fixtures: Vec<Fixture> = (0..4).map(|_| Fixture::new("plain", &shown)).collect();
     let cancel = connect(&fixtures);
     for fixture in fixtures.iter().take(3) {
-        plain_request(fixture, "book", "bad");
+        plain_request(fixture.address, "book", "bad");
         await_crashes(&endpoints);
         thread::sleep(Duration::from_millis(150));
     }
     thread::sleep(Duration::from_millis(1_000));
     for fixture in &fixtures {
-        let response = plain_request(fixture, "book", "bad");
+        let response = plain_request(fixture.address, "book", "bad");
         assert!(response.starts_with("HTTP/1.1 503 "), "{response}");
-        let sound = plain_request(fixture, "book", "good");
+        let sound = plain_request(fixture.address, "book", "good");
         assert!(sound.starts_with("HTTP/1.1 200 "), "{sound}");
     }
     let crashed = endpoints.iter().filter(|endpoint| endpoint.has_crashed()).count();
@@ -180,6 +182,29 @@
     cancel.cancel();
 }
 
+/// Guards against 502 to requests that may not be repeated right after a crash: the endpoint's listener
+/// still takes connections.
+#[test]
+fn requests_are_sent_to_an_endpoint_right_after_another_broke_off_there() {
+    let listens_for = Duration::from_millis(100);
+    let endpoints: Vec<Endpoint> = (0..4)
+        .map(|number| Endpoint::start_slow_to_end(&format!("e{number}"), "bad", listens_for))
+        .collect();
+    let fixture = Fixture::new("plain", &endpoints.iter().collect::<Vec<_>>());
+    let address = fixture.address;
+    let mut harmful = Client::connect(address);
+    harmful.send(&plain("book", "bad"));
+    harmful.read_line();
+    let clients = (0..24)
+        .map(|number| thread::spawn(move || plain_request(address, "book", &format!("{number}"))));
+    let clients: Vec<JoinHandle<String>> = clients.collect();
+    for client in clients {
+        let response = client.join().expect("a response");
+        assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
+    }
+    assert!(endpoints.iter().any(|endpoint| endpoint.has_crashed()));
+}
+
 #[test]
 fn a_request_is_served_by_the_last_endpoint_when_all_others_have_crashed() {
     let endpoints: Vec<Endpoint> =
@@ -193,7 +218,7 @@
         let mut known: Vec<Endpoint> = (0..7).map(absent).collect();
         known.push(endpoint.clone());
         let fixture = Fixture::new("plain", &known.iter().collect::<Vec<_>>());
-        let response = plain_request(&fixture, "book", "good");
+        let response = plain_request(fixture.address, "book", "good");
         assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
     }
 }
@@ -220,11 +245,14 @@
 }
 
 /// Sends a request to the plain service.
-fn plain_request(fixture: &Fixture, route: &str, body: &str) -> String {
+fn plain_request(gateway: SocketAddr, route: &str, body: &str) -> String {
+    Client::connect(gateway).exchange(&plain(route, body))
+}
+
+/// A request for the plain service.
+fn plain(route: &str, body: &str) -> String {
     let length = body.len();
-    Client::connect(fixture.address).exchange(&format!(
-        "POST /{route}/1 HTTP/1.1\r\n{REQUEST_HEADERS}Content-Length: {length}\r\n\r\n{body}"
-    ))
+    format!("POST /{route}/1 HTTP/1.1\r\n{REQUEST_HEADERS}Content-Length: {length}\r\n\r\n{body}")
 }
 
 /// Starts the exchange between gateways, until the token is cancelled.
--- a/crates/gateway/tests/sessions/support/endpoint.rs
+++ b/crates/gateway/tests/sessions/support/endpoint.rs
@@ -59,7 +59,7 @@
     pub fn start_fragile(id: &str, part: &str) -> Endpoint {
         let part = part.to_owned();
         let address = "127.0.0.1:0".parse().expect("an address");
-        Endpoint::start_crashing(id, address, move |request| {
+        Endpoint::start_crashing(id, address, Duration::ZERO, move |request| {
             let parts = header(request, "x-prefix-hash").unwrap_or_default();
             parts.split(',').any(|entry| entry.split(':').next() == Some(&part))
         })
@@ -74,13 +74,24 @@
     /// Starts an endpoint like that of [`Endpoint::start_fragile_to`] at an address.
     pub fn start_fragile_at(id: &str, address: SocketAddr, body: &str) -> Endpoint {
         let end = format!("\r\n\r\n{body}");
-        Endpoint::start_crashing(id, address, move |request| request.ends_with(&end))
+        Endpoint::start_crashing(id, address, Duration::ZERO, move |request| {
+            request.ends_with(&end)
+        })
+    }
+
+    /// Starts an endpoint like that of [`Endpoint::start_fragile_to`] whose listener takes connections
+    /// for some time after it has crashed, until all of them are reset.
+    pub fn start_slow_to_end(id: &str, body: &str, listens_for: Duration) -> Endpoint {
+        let end = format!("\r\n\r\n{body}");
+        let address = "127.0.0.1:0".parse().expect("an address");
+        Endpoint::start_crashing(id, address, listens_for, move |request| request.ends_with(&end))
     }
 
     /// Starts an endpoint that crashes when it begins to answer a request for which this holds.
     fn start_crashing(
         id: &str,
         address: SocketAddr,
+        listens_for: Duration,
         is_harmful: impl Fn(&str) -> bool + Send + Sync + 'static,
     ) -> Endpoint {
         let listener = TcpListener::bind(address).expect("a free port");
@@ -101,6 +112,7 @@
                     serve_fragile(stream, &*is_harmful, &seen, &streams, address)
                 });
             }
+            thread::sleep(listens_for);
             drop(listener);
             seen.lock().push(DEAF.to_owned());
         });
