Keep the addresses of ended endpoints from other tests

Tests of crashes, and others, failed now and then: 502 with "an endpoint broke off; it may have run", once also where seven of eight endpoints never listened.

Cause: tests freed the address of an endpoint that had ended, or of one that was to be absent, and others, which run at the same time, got it for their own. What the gateway sent there was answered by an endpoint of another test. The addresses are now reserved until the process ends, by sockets that don't listen; no check has changed. The same holds for addresses of gateways that are chosen before they are used.

--- a/crates/gateway/tests/evacuations.rs
+++ b/crates/gateway/tests/evacuations.rs
@@ -1,12 +1,13 @@
 //! Tests of which data centres a gateway takes for evacuated, before a stand-in of the store.
 
+#[path = "support/address.rs"]
+mod address;
 #[path = "support/entries.rs"]
 mod entries;
 
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -33,6 +34,7 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
+use crate::address::free_address;
 use crate::entries::member;
 use crate::entries::table;
 
@@ -153,11 +155,6 @@
     }
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
-}
-
 fn peers(vm: &str) -> Peers {
     Peers::new(Arc::default(), member(vm, free_address()), 1, Vec::new())
 }
--- a/crates/gateway/tests/floods.rs
+++ b/crates/gateway/tests/floods.rs
@@ -1,6 +1,8 @@
 //! Test of the memory that hundreds of endpoints fill which send bytes without end. It measures its process, so
 //! it has one of its own.
 
+#[path = "support/address.rs"]
+mod address;
 #[allow(dead_code, reason = "shared with the sessions, which use more of it")]
 #[path = "sessions/support/mod.rs"]
 mod support;
--- a/crates/gateway/tests/lapses.rs
+++ b/crates/gateway/tests/lapses.rs
@@ -1,10 +1,11 @@
 //! Tests of gateways whose leases end while the store is away.
 
+#[path = "support/address.rs"]
+mod address;
 #[path = "support/entries.rs"]
 mod entries;
 
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -27,6 +28,7 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
+use crate::address::free_address;
 use crate::entries::member;
 use crate::entries::table;
 
@@ -55,9 +57,7 @@
 }
 
 fn peers(vm: &str) -> Peers {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let address = listener.local_addr().expect("an address");
-    Peers::new(Arc::<Routing>::default(), member(vm, address), 1, Vec::new())
+    Peers::new(Arc::<Routing>::default(), member(vm, free_address()), 1, Vec::new())
 }
 
 /// Lets the store be away for a time, in which all leases end.
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -1,11 +1,11 @@
 //! Tests of peer snapshots: gateways that can't read the store get its keys from peers.
 
+#[path = "support/address.rs"]
+mod address;
 #[path = "support/entries.rs"]
 mod entries;
 
 use std::cell::RefCell;
-use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -29,6 +29,7 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
+use crate::address::free_address;
 use crate::entries::announced;
 use crate::entries::entry;
 use crate::entries::member;
@@ -79,12 +80,6 @@
     }
 }
 
-/// Returns an address at which nothing listens yet.
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
-}
-
 /// Returns the version of a gateway's configuration and the ids of its endpoints.
 fn summary(routing: &Routing) -> String {
     let ids: Vec<String> =
--- a/crates/gateway/tests/relays.rs
+++ b/crates/gateway/tests/relays.rs
@@ -1,5 +1,7 @@
 //! Tests of gateways that get the store's keys from a relay of their data centre.
 
+#[path = "support/address.rs"]
+mod address;
 #[path = "support/entries.rs"]
 mod entries;
 
@@ -27,6 +29,7 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
+use crate::address::free_address;
 use crate::entries::announced;
 use crate::entries::entry;
 use crate::entries::member;
@@ -99,12 +102,6 @@
     }
 }
 
-/// Returns an address at which nothing listens yet.
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
-}
-
 /// Returns the gateways of the data centre: `relay` on a large VM, `leaf`, and others at which
 /// nobody listens.
 fn members(relay: SocketAddr, leaf: SocketAddr) -> Vec<Member> {
--- a/crates/gateway/tests/restores.rs
+++ b/crates/gateway/tests/restores.rs
@@ -1,12 +1,13 @@
 //! Tests of gateways whose store comes back from a copy: its revisions go back and are given out
 //! again for other changes.
 
+#[path = "support/address.rs"]
+mod address;
 #[path = "support/entries.rs"]
 mod entries;
 
 use std::cell::Cell;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -35,6 +36,7 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
+use crate::address::free_address;
 use crate::entries::member;
 use crate::entries::table;
 
@@ -132,11 +134,6 @@
     }
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
-}
-
 fn peers(vm: &str) -> Peers {
     Peers::new(Arc::default(), member(vm, free_address()), 1, Vec::new())
 }
--- a/crates/gateway/tests/sessions/crashes.rs
+++ b/crates/gateway/tests/sessions/crashes.rs
@@ -1,7 +1,6 @@
 //! Tests of requests that crash each endpoint that begins to answer them.
 
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::thread;
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -9,6 +8,7 @@
 use gateway::Member;
 use tokio_util::sync::CancellationToken;
 
+use crate::address::free_address;
 use crate::loads::member;
 use crate::loads::peers;
 use crate::loads::share_loads;
@@ -209,11 +209,7 @@
 fn a_request_is_served_by_the_last_endpoint_when_all_others_have_crashed() {
     let endpoints: Vec<Endpoint> =
         (0..8).map(|number| Endpoint::start(&format!("e{number}"), vec![full()])).collect();
-    let absent = |number| {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let address = listener.local_addr().expect("an address");
-        endpoints[0].at(&format!("a{number}"), address)
-    };
+    let absent = |number| endpoints[0].at(&format!("a{number}"), free_address());
     for endpoint in &endpoints {
         let mut known: Vec<Endpoint> = (0..7).map(absent).collect();
         known.push(endpoint.clone());
--- a/crates/gateway/tests/sessions/loads.rs
+++ b/crates/gateway/tests/sessions/loads.rs
@@ -1,7 +1,6 @@
 //! Tests of loads of endpoints that other gateways have reported.
 
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -17,6 +16,7 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
+use crate::address::free_address;
 use crate::support::client::Client;
 use crate::support::endpoint::Endpoint;
 use crate::support::fixture::Fixture;
@@ -26,12 +26,6 @@
 /// Time in which a report reaches another gateway, several times over.
 const REPORTED: Duration = Duration::from_millis(1_500);
 
-/// Returns an address at which nothing listens yet.
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
-}
-
 pub fn member(vm: &str, capacity: u32) -> Member {
     let (vm, centre) = (vm.to_owned(), "a".to_owned());
     Member { vm, centre, address: free_address(), capacity, format: Member::FORMAT }
--- a/crates/gateway/tests/sessions/main.rs
+++ b/crates/gateway/tests/sessions/main.rs
@@ -1,5 +1,7 @@
 //! End-to-end tests: a client, a gateway and scripted endpoints, all on loopback.
 
+#[path = "../support/address.rs"]
+mod address;
 mod copies;
 mod crashes;
 mod endless;
--- a/crates/gateway/tests/sessions/restarts.rs
+++ b/crates/gateway/tests/sessions/restarts.rs
@@ -7,9 +7,6 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
-use socket2::Domain;
-use socket2::Socket;
-use socket2::Type;
 
 use crate::support::client::Client;
 use crate::support::endpoint::Endpoint;
@@ -93,24 +90,16 @@
 
 /// An endpoint that can crash beside one that doesn't, before a gateway.
 struct Case {
-    address: SocketAddr,
     fragile: Endpoint,
     fixture: Fixture,
-    /// Keeps the address from other tests while nothing listens there.
-    _held: Socket,
 }
 
 impl Case {
     fn new() -> Case {
-        let held = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
-        held.set_reuse_address(true).expect("a socket option");
-        let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
-        held.bind(&any.into()).expect("a free port");
-        let address = held.local_addr().expect("an address").as_socket().expect("an IP address");
-        let fragile = Endpoint::start_fragile_at("e1", address, "bad");
+        let fragile = Endpoint::start_fragile_to("e1", "bad");
         let sound = Endpoint::start("e2", vec![vec![stream_start(), event(2), stream_end()]]);
         let fixture = Fixture::new("model", &[&fragile, &sound]);
-        Case { address, fragile, fixture, _held: held }
+        Case { fragile, fixture }
     }
 
     /// Lets the endpoint crash, and waits until nothing listens at its address and the gateway has
@@ -130,7 +119,7 @@
     /// Starts the endpoint again, which now breaks off each stream after its first event.
     fn restart(&self) -> Endpoint {
         let broken = vec![stream_start(), event(1), Step::Pause(30), Step::Close];
-        Endpoint::start_at("e1", self.address, &Arc::new(Mutex::new(vec![broken])))
+        Endpoint::start_at("e1", self.fragile.address, &Arc::new(Mutex::new(vec![broken])))
     }
 
     /// Returns the responses to requests that are sent at the same time.
--- a/crates/gateway/tests/sessions/support/endpoint.rs
+++ b/crates/gateway/tests/sessions/support/endpoint.rs
@@ -13,6 +13,8 @@
 use parking_lot::Mutex;
 use socket2::SockRef;
 
+use crate::address::free_address;
+
 /// One step of a response.
 #[derive(Clone, Debug)]
 pub enum Step {
@@ -58,8 +60,7 @@
     /// listens no more.
     pub fn start_fragile(id: &str, part: &str) -> Endpoint {
         let part = part.to_owned();
-        let address = "127.0.0.1:0".parse().expect("an address");
-        Endpoint::start_crashing(id, address, Duration::ZERO, move |request| {
+        Endpoint::start_crashing(id, Duration::ZERO, move |request| {
             let parts = header(request, "x-prefix-hash").unwrap_or_default();
             parts.split(',').any(|entry| entry.split(':').next() == Some(&part))
         })
@@ -68,34 +69,24 @@
     /// Starts an endpoint like that of [`Endpoint::start_fragile`] that crashes by requests with
     /// this body.
     pub fn start_fragile_to(id: &str, body: &str) -> Endpoint {
-        Endpoint::start_fragile_at(id, "127.0.0.1:0".parse().expect("an address"), body)
-    }
-
-    /// Starts an endpoint like that of [`Endpoint::start_fragile_to`] at an address.
-    pub fn start_fragile_at(id: &str, address: SocketAddr, body: &str) -> Endpoint {
-        let end = format!("\r\n\r\n{body}");
-        Endpoint::start_crashing(id, address, Duration::ZERO, move |request| {
-            request.ends_with(&end)
-        })
+        Endpoint::start_slow_to_end(id, body, Duration::ZERO)
     }
 
     /// Starts an endpoint like that of [`Endpoint::start_fragile_to`] whose listener takes connections
     /// for some time after it has crashed, until all of them are reset.
     pub fn start_slow_to_end(id: &str, body: &str, listens_for: Duration) -> Endpoint {
         let end = format!("\r\n\r\n{body}");
-        let address = "127.0.0.1:0".parse().expect("an address");
-        Endpoint::start_crashing(id, address, listens_for, move |request| request.ends_with(&end))
+        Endpoint::start_crashing(id, listens_for, move |request| request.ends_with(&end))
     }
 
     /// Starts an endpoint that crashes when it begins to answer a request for which this holds.
     fn start_crashing(
         id: &str,
-        address: SocketAddr,
         listens_for: Duration,
         is_harmful: impl Fn(&str) -> bool + Send + Sync + 'static,
     ) -> Endpoint {
+        let address = free_address();
         let listener = TcpListener::bind(address).expect("a free port");
-        let address = listener.local_addr().expect("an address");
         let seen = Arc::new(Mutex::new(Vec::new()));
         let endpoint = Endpoint { id: id.to_owned(), address, seen: Arc::clone(&seen) };
         let is_harmful = Arc::new(is_harmful);
--- a/crates/gateway/tests/uploads.rs
+++ b/crates/gateway/tests/uploads.rs
@@ -1,6 +1,8 @@
 //! Tests of endpoints that answer a long upload before they have read it. Uploads take much of a processor, and
 //! some sessions are timed, so these are not among them.
 
+#[path = "support/address.rs"]
+mod address;
 #[allow(dead_code, reason = "shared with the sessions, which use more of it")]
 #[path = "sessions/support/mod.rs"]
 mod support;
