Give up clients that do nothing while connections run short

Cause: a stalled body gave way to a lack of memory only, and was waited for 10 s, also past the deadline of its request; an idle connection was kept for 15 s. Ruled out: that callers were accepted and starved; the log has no line of any of them.

While three quarters of the connections are taken, bodies may stop and connections be idle for 1.5 s, and a body that isn't there at its request's deadline is refused with 408.

--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -8,6 +8,7 @@
 use http::HeaderMap;
 use http::header::CONTENT_LENGTH;
 use http::header::HOST;
+use ntex::http::error::PayloadError;
 use ntex::web::HttpRequest;
 use ntex::web::types::Payload;
 use policy::memory::Purpose;
@@ -35,6 +36,9 @@
 /// Time limit for reading the body of a refused request.
 const REFUSED_BODY_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Interval between checks how long a body may stall.
+const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Longest time limit of a request. Clocks hold no deadline that is arbitrarily far away.
 const MAX_TIME_LIMIT: Duration = Duration::from_secs(24 * 3_600);
 
@@ -65,16 +69,16 @@
         metadata.timeout.map_or(rule.timeout, |time_limit| time_limit.min(rule.timeout));
     let deadline = start + time_limit.min(MAX_TIME_LIMIT);
     let length = length(&headers);
-    let (body, held) =
-        match read_body(worker, &mut payload, length, table.limits().body_bytes).await {
-            Ok(read) => read,
-            Err(refusal) => {
-                if matches!(refusal, Refusal::TooLong | Refusal::Memory) {
-                    discard(&mut payload).await;
-                }
-                return Err(refusal);
+    let max_bytes = table.limits().body_bytes;
+    let (body, held) = match read_body(worker, &mut payload, length, max_bytes, deadline).await {
+        Ok(read) => read,
+        Err(refusal) => {
+            if matches!(refusal, Refusal::TooLong | Refusal::Memory) {
+                discard(&mut payload).await;
             }
-        };
+            return Err(refusal);
+        }
+    };
     let uri = head.uri();
     let target = uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
     let service = rule.service(metadata.id.as_deref().unwrap_or_default()).clone();
@@ -144,38 +148,33 @@
 /// Reads a request body of at most `max_bytes`, of which the client has announced `length`.
 ///
 /// Memory for the announced length is reserved at once, so that a body for which there is no room is
-/// refused before it is read. Without a length, the reservation grows with the body.
+/// refused before it is read. Without a length, the reservation grows with the body. A body that isn't
+/// there at the deadline of its request is refused, since that can't be served any more.
 async fn read_body(
     worker: &Worker,
     payload: &mut Payload,
     length: Option<usize>,
     max_bytes: usize,
+    deadline: Instant,
 ) -> Result<(Bytes, Held), Refusal> {
     if length.is_some_and(|length| length > max_bytes) {
         return Err(Refusal::TooLong);
     }
-    let limits = &worker.context.limits;
     let mut buffer = Buffer::new(worker.memory.hold(Purpose::Request), max_bytes);
     if !buffer.reserve(length.unwrap_or_default()) {
         return Err(no_room());
     }
-    let start = Instant::now() + limits.body_stall;
+    let start = Instant::now();
     loop {
-        let arrival = Duration::from_secs((buffer.len() / limits.body_rate as usize) as u64);
-        let deadline = (start + arrival).min(Instant::now() + limits.body_stall);
         let chunk = tokio::select! {
             biased;
             () = buffer.held().evicted() => {
                 log::info!(received = buffer.len(), length:?; "a body gives way to others");
                 return Err(no_room());
             }
-            chunk = timeout_at(deadline, payload.next()) => chunk,
+            chunk = next_chunk(worker, payload, start, buffer.len(), deadline) => chunk,
         };
-        let chunk = chunk.map_err(|_| {
-            log::info!(received = buffer.len(), length:?; "a body arrives too slowly");
-            Refusal::Slow
-        })?;
-        let Some(chunk) = chunk else { return Ok(buffer.finish()) };
+        let Some(chunk) = chunk? else { return Ok(buffer.finish()) };
         let chunk = chunk.map_err(|error| {
             log::info!("reading a request body failed: {error}");
             Refusal::BadBody
@@ -189,6 +188,34 @@
     }
 }
 
+/// Returns the next bytes of a body that began to be read at a time, with the number of bytes until now;
+/// `None` after its end.
+///
+/// How long a body may stall depends on how many connections there are, which may change meanwhile.
+async fn next_chunk(
+    worker: &Worker,
+    payload: &mut Payload,
+    start: Instant,
+    received: usize,
+    deadline: Instant,
+) -> Result<Option<Result<ntex::util::Bytes, PayloadError>>, Refusal> {
+    let asked = Instant::now();
+    let arrival = Duration::from_secs((received / worker.context.limits.body_rate as usize) as u64);
+    loop {
+        let stall = worker.patience(worker.context.limits.body_stall);
+        let due = (start + stall + arrival).min(asked + stall).min(deadline);
+        let check = due.min(Instant::now() + STALL_CHECK_INTERVAL);
+        match timeout_at(check, payload.next()).await {
+            Ok(chunk) => return Ok(chunk),
+            Err(_) if Instant::now() < due => {}
+            Err(_) => {
+                log::info!(received, stall:?; "a body arrives too slowly");
+                return Err(Refusal::Slow);
+            }
+        }
+    }
+}
+
 /// Counts a request body for which there is no room.
 fn no_room() -> Refusal {
     record::full("request");
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -59,6 +59,11 @@
         Some(Busy { open: Rc::clone(&self.open), io: io.clone(), waiting_since })
     }
 
+    /// Returns the number of connections; those that were closed lately may be among them.
+    pub(crate) fn len(&self) -> usize {
+        self.open.borrow().len()
+    }
+
     /// Closes connections that have been idle for at least `idle`, and returns their number.
     pub(crate) fn close_idle(&self, idle: Duration) -> usize {
         let mut open = self.open.borrow_mut();
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -218,7 +218,8 @@
     loop {
         sleep(SWEEP_INTERVAL).await;
         worker.pool.sweep();
-        worker.connections.close_idle(worker.context.routing.table().limits().idle);
+        let idle = worker.context.routing.table().limits().idle;
+        worker.connections.close_idle(worker.patience(idle));
         let response_stall = worker.context.limits.response_stall;
         record::unread(worker.connections.close_unread(response_stall), response_stall);
         worker.memory.record();
--- a/crates/gateway/src/worker.rs
+++ b/crates/gateway/src/worker.rs
@@ -14,6 +14,10 @@
 use crate::memory::Memory;
 use crate::request::Request;
 
+/// Longest time for which a client may do nothing while three quarters of the connections are taken. A
+/// gateway that is ready has to take new ones within three seconds.
+const CROWDED_PATIENCE: Duration = Duration::from_millis(1_500);
+
 /// State that the requests of one worker thread share.
 pub(crate) struct Worker {
     pub(crate) context: Context,
@@ -48,6 +52,13 @@
         self.connections.close_idle(Duration::ZERO)
     }
 
+    /// Returns for how long a client may do nothing on its connection, of which a longest time is given. It
+    /// is shorter while most connections are taken: those of such clients would keep new ones out.
+    pub(crate) fn patience(&self, longest: Duration) -> Duration {
+        let is_crowded = self.connections.len() >= self.context.limits.connections / 4 * 3;
+        if is_crowded { longest.min(CROWDED_PATIENCE) } else { longest }
+    }
+
     /// Whether the process is draining and may end before the deadline of a request.
     pub(crate) fn is_too_late_for(&self, request: &Request) -> bool {
         self.drain_deadline.get().is_some_and(|deadline| request.deadline > deadline)
