Let the client of the sessions wait for a whole response

endless::a_stream_without_events_is_cut failed beside load: the client had not seen the end of the stream. Cause, in the test: the client stopped reading once nothing had come for 400 ms, though the response was not complete. It now knows whether it is (`httparse`), and waits for 4 s else. No check has changed.

--- a/crates/gateway/tests/sessions/support/client.rs
+++ b/crates/gateway/tests/sessions/support/client.rs
@@ -7,9 +7,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
-/// The client stops reading if nothing arrives for this time.
+/// The client stops reading if nothing arrives for this time after a whole response.
 const QUIET_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// The same while a response is not complete, and before the first byte.
+const RESPONSE_TIMEOUT: Duration = Duration::from_secs(4);
+
 /// Longest time to wait for the first byte of a response.
 const MAX_QUIET: Duration = Duration::from_secs(10);
 
@@ -48,11 +51,11 @@
                     last = Instant::now();
                 }
                 Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {
-                    if !bytes.is_empty() && last.elapsed() > QUIET_TIMEOUT {
-                        break "";
+                    if last.elapsed() > RESPONSE_TIMEOUT {
+                        break if bytes.is_empty() { "(silent)\n" } else { "" };
                     }
-                    if last.elapsed() > 10 * QUIET_TIMEOUT {
-                        break "(silent)\n";
+                    if last.elapsed() > QUIET_TIMEOUT && is_complete(&bytes) {
+                        break "";
                     }
                 }
                 Err(_) => break "(reset)\n",
@@ -92,6 +95,49 @@
     }
 }
 
+/// Whether these bytes are whole responses, one at least.
+fn is_complete(bytes: &[u8]) -> bool {
+    let mut rest = bytes;
+    while !rest.is_empty() {
+        match response_len(rest) {
+            Some(len) if len <= rest.len() => rest = &rest[len..],
+            _ => return false,
+        }
+    }
+    !bytes.is_empty()
+}
+
+/// Returns the length of the response at the beginning of these bytes; `None` if its end hasn't arrived
+/// or is that of the connection.
+fn response_len(bytes: &[u8]) -> Option<usize> {
+    let mut headers = [httparse::EMPTY_HEADER; 64];
+    let mut response = httparse::Response::new(&mut headers);
+    let Ok(httparse::Status::Complete(head)) = response.parse(bytes) else { return None };
+    match response.code? {
+        // The final response follows.
+        100..200 => return Some(head + response_len(&bytes[head..])?),
+        204 | 304 => return Some(head),
+        _ => {}
+    }
+    let value = |name: &str| {
+        let mut found = response.headers.iter().filter(|it| it.name.eq_ignore_ascii_case(name));
+        found.next().map(|header| String::from_utf8_lossy(header.value))
+    };
+    if let Some(length) = value("content-length") {
+        return Some(head + length.parse::<usize>().ok()?);
+    }
+    value("transfer-encoding")?;
+    let mut end = head;
+    loop {
+        let chunk = httparse::parse_chunk_size(bytes.get(end..)?);
+        let Ok(httparse::Status::Complete((line, size))) = chunk else { return None };
+        end += line + usize::try_from(size).ok()? + "\r\n".len();
+        if size == 0 {
+            return Some(end);
+        }
+    }
+}
+
 /// Sorts the headers of a message, whose order differs from run to run.
 pub fn sort_headers(text: &str) -> String {
     if text.is_empty() {
