--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -79,24 +79,23 @@
         due.map(|tracked| Arc::clone(&tracked.endpoint))
     }
 
-    /// Returns the endpoints to which a request may be sent now and that aren't ejected. Those that may
-    /// just have ended are left out as long as others have room.
+    /// Returns the endpoints to which a request may be sent now and that aren't ejected.
     fn healthy(&self, criteria: &Criteria<'_>, now: Duration) -> Vec<&Tracked> {
         let available: Vec<&Tracked> =
             self.endpoints.iter().filter(|tracked| tracked.is_available(criteria)).collect();
         let mut healthy = self.ejections.without_ejected(criteria.service, available, now);
         healthy.retain(|tracked| tracked.has_permit());
-        // The listener of a process that ends may take connections a little longer than it serves them.
-        let is_doubtful = |tracked: &&Tracked| tracked.liveness == Liveness::Doubtful;
-        if healthy.iter().any(|it| !is_doubtful(it) && it.has_free_slot(now)) {
-            healthy.retain(|tracked| !is_doubtful(tracked));
-        }
         healthy
     }
 
-    /// Leaves out failing endpoints as long as others have room. If none has, all stay.
+    /// Leaves out endpoints that are failing, or may just have ended, as long as others have room. If none
+    /// has, all stay.
     fn retain_sound(&self, healthy: &mut Vec<&Tracked>, criteria: &Criteria<'_>, now: Duration) {
-        if !healthy.iter().any(|tracked| tracked.tally.is_failing()) {
+        // The listener of a process that ends may take connections a little longer than it serves them.
+        let is_unsound = |tracked: &Tracked| {
+            tracked.tally.is_failing() || tracked.liveness == Liveness::Doubtful
+        };
+        if !healthy.iter().any(|tracked| is_unsound(tracked)) {
             return;
         }
         let service = self.endpoints.iter().filter(|tracked| {
@@ -109,7 +108,7 @@
             .map(|tracked| failure_rate::Load {
                 requests: tracked.occupancy.requests(now),
                 has_free_slot: tracked.has_free_slot(now),
-                is_failing: tracked.tally.is_failing(),
+                is_failing: is_unsound(tracked),
             })
             .collect();
         if let Some(sound) = failure_rate::sound(&loads, mean, criteria.seed) {
