--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -164,13 +164,13 @@
         }
     }
 
-    /// Records that a request broke off at a start of an endpoint. Returns whether a check has to be
-    /// started whether it has ended.
+    /// Records that a request broke off at a start of an endpoint, which may have ended. Returns whether
+    /// a check of that has to be started.
     pub(crate) fn doubt(&mut self, start: &Endpoint) -> bool {
         self.liveness(start).is_some_and(Liveness::doubt)
     }
 
-    /// Records that a check has shown no end of a start of an endpoint.
+    /// Records that the check of a start of an endpoint hasn't shown that it ended.
     pub(crate) fn clear_doubt(&mut self, start: &Endpoint) {
         if let Some(liveness) = self.liveness(start) {
             liveness.clear_doubt();
@@ -187,8 +187,7 @@
         is_new
     }
 
-    /// Whether it is known that a start of an endpoint has ended, and nothing that listens at its
-    /// address again.
+    /// Whether a start of an endpoint has ended, and nothing is known to listen at its address since.
     pub(crate) fn has_ended(&mut self, start: &Endpoint) -> bool {
         self.liveness(start).is_some_and(|liveness| *liveness == Liveness::Ended)
     }
@@ -209,8 +208,8 @@
         tracked.endpoint.is_same_start(start).then_some(&mut tracked.liveness)
     }
 
-    /// Returns the start of an endpoint that is known at the address of another start, with the time at
-    /// which it was announced.
+    /// Returns the latest start of an endpoint if it is at the same address as another one, with the time
+    /// at which it was announced.
     pub(crate) fn start_of(&self, other: &Endpoint) -> Option<(Arc<Endpoint>, Duration)> {
         let tracked = &self.endpoints[self.find(&other.id).ok()?];
         let is_there = tracked.endpoint.address == other.address;
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -101,8 +101,8 @@
             continue;
         }
         let (snapshots, is_current) = peer::fetch(peers, &lost).await;
-        let has_endpoints = lost.iter().all(|cursor| cursor.prefix != endpoints.prefix);
-        let can_read = is_current || has_endpoints;
+        let has_lost_endpoints = lost.iter().any(|cursor| cursor.prefix == endpoints.prefix);
+        let can_read = is_current || !has_lost_endpoints;
         routing.with_directory(|directory, _| directory.set_readable(can_read));
         for snapshot in snapshots {
             let watcher = if snapshot.prefix == operator.prefix { operator } else { endpoints };
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -254,8 +254,9 @@
     }
 
     /// Takes the stream for one of a later start of its endpoint if that was announced before a piece was
-    /// waited for, or long before it came, since the earlier one had ended by then. The request was sent
-    /// before the announcement, so another version may have begun the stream than was known.
+    /// waited for, or long before it came: the earlier start had ended by then, so it can't have sent the
+    /// piece. The request had been sent to a start that was not announced yet, which may have another
+    /// version. See `docs/decisions/versions.md`.
     fn follow_restart(&mut self, awaited: Duration, read: &Read) {
         let routing = &self.worker.context.routing;
         let Some(source) = self.source.as_mut().filter(|_| matches!(read, Read::Data(_))) else {
--- a/crates/policy/src/liveness.rs
+++ b/crates/policy/src/liveness.rs
@@ -35,7 +35,7 @@
         is_new
     }
 
-    /// Records that the check has shown no end.
+    /// Records that the check hasn't shown that it ended.
     pub fn clear_doubt(&mut self) {
         if *self == Liveness::Doubtful {
             *self = Liveness::Running;
