--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -36,7 +36,7 @@
 /// Time limit for reading the body of a refused request.
 const REFUSED_BODY_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Interval between checks how long a body may stall.
+/// Interval at which the time limit of a body that is waited for is worked out again.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Longest time limit of a request. Clocks hold no deadline that is arbitrarily far away.
@@ -174,7 +174,10 @@
             }
             chunk = next_chunk(worker, payload, start, buffer.len(), deadline) => chunk,
         };
-        let Some(chunk) = chunk? else { return Ok(buffer.finish()) };
+        let chunk = chunk.inspect_err(|_| {
+            log::info!(received = buffer.len(), length:?; "a body arrives too slowly");
+        })?;
+        let Some(chunk) = chunk else { return Ok(buffer.finish()) };
         let chunk = chunk.map_err(|error| {
             log::info!("reading a request body failed: {error}");
             Refusal::BadBody
@@ -188,10 +191,15 @@
     }
 }
 
-/// Returns the next bytes of a body that began to be read at a time, with the number of bytes until now;
-/// `None` after its end.
+/// Returns the next bytes of a body; `None` after its end. `start` is when its first bytes were waited
+/// for, and `received` the number of bytes since.
+///
+/// A crowd of clients may come while it waits, and the body is given up sooner then, so the time limit is
+/// worked out again at intervals.
 ///
-/// How long a body may stall depends on how many connections there are, which may change meanwhile.
+/// # Errors
+///
+/// [`Refusal::Slow`] if no bytes come within the time limit or before the deadline.
 async fn next_chunk(
     worker: &Worker,
     payload: &mut Payload,
@@ -208,10 +216,7 @@
         match timeout_at(check, payload.next()).await {
             Ok(chunk) => return Ok(chunk),
             Err(_) if Instant::now() < due => {}
-            Err(_) => {
-                log::info!(received, stall:?; "a body arrives too slowly");
-                return Err(Refusal::Slow);
-            }
+            Err(_) => return Err(Refusal::Slow),
         }
     }
 }
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -53,9 +53,9 @@
     replicas: Mutex<Ledger>,
     /// Streams of gateways that can't write to the store, which this one stores for them.
     adopted: Mutex<Ledger>,
-    /// What the store has of this gateway.
+    /// The journal of this process, as far as the store has it.
     pub(crate) journal: OwnJournal,
-    /// How far streams are recorded elsewhere.
+    /// The last streams that the store and other gateways have.
     pub(crate) recording: Recording,
     /// The last time at which the store had lost journals.
     loss: Mutex<Option<Lost>>,
@@ -96,9 +96,9 @@
     }
 
     /// Records the endpoint that sent the first event of a stream, and waits until others know it if they
-    /// can't tell its version otherwise. Returns whether they can, so that the event may be sent: a
-    /// stream that nobody else knows would go on at any version if this process ended. See
-    /// `docs/decisions/versions.md`.
+    /// can't tell its version otherwise. Returns whether they can, so that the event may be sent. If
+    /// nobody else knew the stream and this process ended, the client could take it up at another version.
+    /// See `docs/decisions/versions.md`.
     ///
     /// A stream that breaks off sooner has not begun for its client, which can begin it anew at any
     /// version.
@@ -325,7 +325,7 @@
         mem::take(&mut self.asked.lock())
     }
 
-    /// Returns the streams that began since a time and are to be replicated.
+    /// Returns the streams that began since a time and still have to be replicated to other gateways.
     pub(crate) fn recent_since(&self, since: Duration, now: Duration) -> Segment {
         self.ledger.lock().recent_since(since, now)
     }
--- a/crates/gateway/src/origins/own_journal.rs
+++ b/crates/gateway/src/origins/own_journal.rs
@@ -1,4 +1,4 @@
-//! What the store has of this gateway.
+//! The journal of this process in the store.
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -40,8 +40,8 @@
         Arc::clone(&self.versions.lock())
     }
 
-    /// Whether it has the versions of all streams of a segment of this gateway. Streams that the store
-    /// lacks are unknown then, and not taken for those of another version.
+    /// Whether it names the version of each stream of a segment. If it does, other gateways take a stream
+    /// that the store lacks for unknown, and not for one of another version.
     pub(crate) fn has_versions(&self, streams: &Segment) -> bool {
         let versions = self.versions();
         let has = |row: &Row| {
--- a/crates/gateway/src/origins/progress.rs
+++ b/crates/gateway/src/origins/progress.rs
@@ -1,4 +1,4 @@
-//! How far a task has recorded the streams that began here.
+//! The last stream that a task has recorded.
 
 use tokio::sync::watch;
 
--- a/crates/gateway/src/origins/reading.rs
+++ b/crates/gateway/src/origins/reading.rs
@@ -9,6 +9,6 @@
 pub(crate) struct Reading {
     /// The last read that it answers.
     pub(crate) number: u64,
-    /// What all gateways have stored; `None` if the store could not be read.
+    /// The journals in the store; `None` if it could not be read.
     pub(crate) stored: Option<Arc<Stored>>,
 }
--- a/crates/gateway/src/origins/recording.rs
+++ b/crates/gateway/src/origins/recording.rs
@@ -1,4 +1,4 @@
-//! How far streams are recorded elsewhere than in this process.
+//! The last streams that the store and other gateways have.
 
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
@@ -23,15 +23,16 @@
 /// once a second.
 const UNSECURED_PAUSE: Duration = Duration::from_millis(1_000);
 
-/// How far the streams that others have to know are recorded elsewhere: in the store, and at other
-/// gateways. Their first events are held back for that. See `docs/decisions/versions.md`.
+/// The last streams that are recorded in the store, and at other gateways. The first events of a stream
+/// are held back until it is among them, if others can't tell its version otherwise. See
+/// `docs/decisions/versions.md`.
 #[derive(Debug, Default)]
 pub(crate) struct Recording {
     /// Number of the last stream.
     last: AtomicU64,
-    /// How far the streams are stored.
+    /// The last stream that the store has.
     pub(crate) stored: Progress,
-    /// How far the streams are replicated to other gateways.
+    /// The last stream that another gateway has.
     pub(crate) replicated: Progress,
     /// Whether tasks store and replicate streams. Where none does, streams don't wait for them.
     is_kept: AtomicBool,
--- a/crates/gateway/src/origins/stored.rs
+++ b/crates/gateway/src/origins/stored.rs
@@ -1,8 +1,8 @@
-//! What all gateways have stored of streams.
+//! The journals of all processes in the store.
 
 use policy::origin::Journal;
 
-/// What all gateways have stored.
+/// The journals of all processes, as they were read from the store.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub(crate) struct Stored {
     /// Number of restores of the store when it was read.
--- a/crates/gateway/src/peer/registration.rs
+++ b/crates/gateway/src/peer/registration.rs
@@ -138,8 +138,8 @@
         }
     }
 
-    /// Waits until the other gateways have registered again; returns the interval until the next lookup
-    /// but one.
+    /// Waits until the other gateways have registered again, before the next lookup; returns the interval
+    /// after that lookup.
     async fn await_registrations(&self) -> Duration {
         sleep(RETURN_PAUSE).await;
         MIN_LOOKUP_INTERVAL
