Case 14: streams of two versions after gateways were killed in an outage

Cause: a stream begins once one other gateway has its version.

Tried: a planned restart of a gateway, a rollout of new endpoints, four times an outage of the store of 4.5 s at whose end three of five gateways are killed. The stand-in of the store now resets connections in the drill of case 11 and never answers on a channel that was silent.

--- a/review/kit-3/tests/cases.rs
+++ b/review/kit-3/tests/cases.rs
@@ -10,6 +10,7 @@
 use std::time::Instant;
 
 use crate::engine::Engine;
+use crate::lab::Gateway;
 use crate::lab::Lab;
 use crate::lab::free_address;
 use crate::store::Mode;
@@ -25,6 +26,9 @@
 /// The data centres of the gateways, as many as the site has.
 const CENTRES: [&str; 5] = ["z1", "z1", "z2", "z2", "z3"];
 
+/// The gateways that are killed together. They get each other's replicas.
+const KILLED: [usize; 3] = [0, 1, 3];
+
 /// Time in which gateways find each other.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
 
@@ -34,6 +38,7 @@
     let mut lab = Lab::start(folder, EVENTS, GAP);
     let traffic = match case {
         "drill" => drill(&mut lab)?,
+        "kills" => kills(&mut lab)?,
         "outage" => outage(&mut lab)?,
         "reborn" => reborn(&mut lab)?,
         _ => return Err(format!("there is no case {case}")),
@@ -75,8 +80,8 @@
     let running = [&next, &engines[1], &engines[2]];
     if lab.is_troubled {
         running.iter().for_each(|engine| engine.reaches_store.store(false, Ordering::SeqCst));
-        lab.store.set_mode(Mode::Silent);
-        lab.record.add("the store is away");
+        lab.store.set_mode(Mode::Reset);
+        lab.record.add("the store is away: it closes all connections");
     }
     until(start, 9.6);
     if lab.is_troubled {
@@ -96,6 +101,44 @@
     Ok(traffic)
 }
 
+/// A rollout of new engines after a planned restart of a gateway; then three gateways are killed at the
+/// end of an outage of the store, four times.
+fn kills(lab: &mut Lab) -> Result<Traffic, String> {
+    start_engines(lab, &addresses(3));
+    lab.start_gateways(&CENTRES)?;
+    sleep(SETTLE_TIME);
+    lab.record.add("gateway 4 gets SIGTERM, and is started again");
+    lab.gateways[4].restart_gently();
+    sleep(SETTLE_TIME);
+    let traffic = Traffic::start(lab, 100);
+    let start = Instant::now();
+    until(start, 1.0);
+    for (index, address) in addresses(6).iter().enumerate() {
+        Engine::start(&format!("i-new-{index}"), *address, "v2", lab).keep_reporting();
+    }
+    for begin in [5.0, 13.0, 21.0, 29.0] {
+        until(start, begin);
+        if lab.is_troubled {
+            lab.store.set_mode(Mode::Silent);
+            lab.record.add("the store is down: it answers nothing");
+        }
+        until(start, begin + 4.5);
+        if lab.is_troubled {
+            lab.store.set_mode(Mode::Up);
+            lab.record.add("the store is back");
+            Gateway::kill_all(&mut lab.gateways, &KILLED);
+            lab.record.add("gateways 0, 1 and 3 are killed");
+        }
+        until(start, begin + 5.0);
+        if lab.is_troubled {
+            KILLED.iter().for_each(|index| lab.gateways[*index].restart());
+            lab.record.add("they are started again");
+        }
+    }
+    until(start, 36.0);
+    Ok(traffic)
+}
+
 /// Engines that crash and start again under their ids with another version, while the store is down.
 fn outage(lab: &mut Lab) -> Result<Traffic, String> {
     let addresses = addresses(4);
@@ -127,7 +170,7 @@
 /// Engines that are cut off from the store, crash behind the cut and start again there with another
 /// version.
 fn reborn(lab: &mut Lab) -> Result<Traffic, String> {
-    let addresses = addresses(8);
+    let addresses = addresses(9);
     let engines = start_engines(lab, &addresses);
     lab.start_gateways(&CENTRES)?;
     sleep(SETTLE_TIME);
@@ -142,7 +185,7 @@
         lab.record.add("engines i-0 and i-1 are cut off from the store");
     }
     let mut next = Vec::new();
-    for (index, crash) in [6.05, 9.5].into_iter().enumerate() {
+    for (index, crash) in [6.02, 9.55].into_iter().enumerate() {
         until(start, crash);
         engines[index].end("crashes");
         until(start, crash + 0.2);
--- a/review/kit-3/tests/lab.rs
+++ b/review/kit-3/tests/lab.rs
@@ -31,7 +31,7 @@
     "limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_ms":3000,
     "idle_timeout_ms":10000}}"#;
 
-/// First port that is tried.
+/// First port that is tried; runs at the same time begin 100 ports apart.
 const FIRST_PORT: u16 = 20_000;
 
 /// Longest time until a gateway is ready.
@@ -87,6 +87,26 @@
         STARTED.lock().unwrap().retain(|id| *id != self.process.id());
     }
 
+    /// Kills the processes of several at the same moment.
+    pub fn kill_all(gateways: &mut [Gateway], indices: &[usize]) {
+        let ids = indices.iter().map(|index| gateways[*index].process.id().to_string());
+        let _ = Command::new("kill").arg("-9").args(ids).status();
+        indices.iter().for_each(|index| gateways[*index].kill());
+    }
+
+    /// Stops its process by SIGTERM, waits for its end and starts it again.
+    pub fn restart_gently(&mut self) {
+        let _ = Command::new("kill").arg(self.process.id().to_string()).status();
+        let _ = self.process.wait();
+        STARTED.lock().unwrap().retain(|id| *id != self.process.id());
+        self.restart();
+    }
+
+    /// Starts its process again.
+    pub fn restart(&mut self) {
+        self.process = Gateway::launch(&self.settings).unwrap();
+    }
+
     fn is_ready(&self) -> bool {
         let Ok(mut stream) = TcpStream::connect(self.admin) else { return false };
         let _ = stream.set_read_timeout(Some(Duration::from_secs(1)));
@@ -193,7 +213,7 @@
 /// Returns a loopback address that nobody uses, with a port below those that the system gives out.
 pub fn free_address() -> SocketAddr {
     static NEXT: AtomicU16 = AtomicU16::new(0);
-    let base = FIRST_PORT + (std::process::id() % 500 * 20) as u16;
+    let base = FIRST_PORT + (std::process::id() % 100 * 100) as u16;
     loop {
         let port = base + NEXT.fetch_add(1, Ordering::SeqCst);
         let address = SocketAddr::from(([127, 0, 0, 1], port));
--- a/review/kit-3/tests/state.rs
+++ b/review/kit-3/tests/state.rs
@@ -35,6 +35,8 @@
     pub next_lease: u64,
     pub era: u64,
     pub mode: Mode,
+    /// How often it has fallen silent.
+    pub silences: u64,
 }
 
 impl State {
--- a/review/kit-3/tests/store.rs
+++ b/review/kit-3/tests/store.rs
@@ -30,6 +30,8 @@
     Silent,
     /// Answers 503 and does nothing.
     Busy,
+    /// Closes all connections.
+    Reset,
 }
 
 /// The platform's store.
@@ -50,6 +52,7 @@
             next_lease: 1,
             era: 0,
             mode: Mode::Up,
+            silences: 0,
         };
         let store = Arc::new(Store { state: Mutex::new(state), changed: Condvar::new() });
         let listener = TcpListener::bind(address).expect("the store's address");
@@ -98,31 +101,28 @@
         let mut reader = BufReader::new(clone);
         let mut writer = stream;
         while let Some(message) = Message::read(&mut reader) {
-            let era = {
+            let (era, mode, silences) = {
                 let state = self.state.lock().unwrap();
-                if state.mode == Mode::Silent {
-                    drop(state);
-                    // A channel on which an answer is lost returns nothing further.
-                    while self.state.lock().unwrap().mode == Mode::Silent {
-                        sleep(Duration::from_millis(20));
-                    }
-                    return;
-                }
-                state.era
+                (state.era, state.mode, state.silences)
             };
-            let is_busy = self.state.lock().unwrap().mode == Mode::Busy;
-            let (status, body) =
-                if is_busy { (503, "{}".to_owned()) } else { self.answer(&message, era) };
-            let state = self.state.lock().unwrap();
-            if state.mode == Mode::Silent {
-                drop(state);
-                while self.state.lock().unwrap().mode == Mode::Silent {
-                    sleep(Duration::from_millis(20));
-                }
+            let (status, body) = match mode {
+                Mode::Up => self.answer(&message, era),
+                Mode::Busy => (503, "{}".to_owned()),
+                Mode::Silent => (200, "{}".to_owned()),
+                Mode::Reset => return,
+            };
+            let (era, mode, is_silent) = {
+                let state = self.state.lock().unwrap();
+                (state.era, state.mode, state.mode == Mode::Silent || state.silences != silences)
+            };
+            if is_silent {
+                // A channel on which an answer is lost returns nothing further.
+                while Message::read(&mut reader).is_some() {}
+                return;
+            }
+            if mode == Mode::Reset {
                 return;
             }
-            let era = state.era;
-            drop(state);
             let head = format!(
                 "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nStore-Era: {era}\r\nContent-Length: {}\r\n\r\n",
                 body.len()
@@ -206,7 +206,7 @@
         let deadline = Instant::now() + wait;
         let mut state = self.state.lock().unwrap();
         loop {
-            if state.mode == Mode::Busy {
+            if matches!(state.mode, Mode::Busy | Mode::Reset) {
                 return (503, "{}".to_owned());
             }
             if state.era != era || after < state.floor || after > state.data.revision {
@@ -292,8 +292,13 @@
         true
     }
 
+    /// Sets whether it answers. Entries of engines don't lapse for the time without answers.
     pub fn set_mode(&self, mode: Mode) {
-        self.state.lock().unwrap().mode = mode;
+        let mut state = self.state.lock().unwrap();
+        state.mode = mode;
+        state.silences += u64::from(mode == Mode::Silent);
+        state.reports.values_mut().for_each(|at| *at = Instant::now());
+        drop(state);
         self.changed.notify_all();
     }
 
--- a/review/kit-3/tests/traffic.rs
+++ b/review/kit-3/tests/traffic.rs
@@ -16,6 +16,9 @@
 use crate::lab::Lab;
 use crate::record::Record;
 
+/// Pause of a client before it connects again.
+const RETRY_PAUSE: Duration = Duration::from_millis(20);
+
 /// What a client got of a stream, over all its tries.
 #[derive(Debug, Default)]
 pub struct Got {
@@ -104,7 +107,8 @@
                     record.add(&format!("client sends {first}"));
                     try_stream(stream, &first, None, &mut got);
                     if !got.is_whole && !got.events.is_empty() {
-                        // A client takes a stream up once.
+                        // A client takes a stream up once, some round trips later.
+                        sleep(RETRY_PAUSE);
                         let (event, _) = got.events[got.events.len() - 1];
                         let stream = connect(&gateways, number + 1);
                         let again = format!("{first}b");
