--- a/review/kit-3/tests/engine.rs
+++ b/review/kit-3/tests/engine.rs
@@ -1,5 +1,6 @@
 //! Engines that stream events which name their version.
 
+use std::fmt::Write as _;
 use std::io::BufReader;
 use std::io::Write;
 use std::net::Shutdown;
@@ -36,6 +37,8 @@
     pub is_draining: AtomicBool,
     /// Whether it reaches the store.
     pub reaches_store: AtomicBool,
+    /// Whether its streams go on without end, as fast as they are taken.
+    pub is_endless: AtomicBool,
     pub sequence: AtomicU64,
     pub connections: Mutex<Vec<TcpStream>>,
     pub events: u64,
@@ -56,6 +59,7 @@
             is_running: AtomicBool::new(true),
             is_draining: AtomicBool::new(false),
             reaches_store: AtomicBool::new(true),
+            is_endless: AtomicBool::new(false),
             sequence: AtomicU64::new(0),
             connections: Mutex::default(),
             events: lab.events,
@@ -161,6 +165,16 @@
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: {id}\r\nX-Server-Stamp: {own}.{version}.{id}\r\nX-Server-Load: 1,0,64\r\nTransfer-Encoding: chunked\r\n\r\n"
         );
         writer.write_all(head.as_bytes()).ok()?;
+        let mut event = last;
+        while self.is_endless.load(Ordering::SeqCst) {
+            let mut chunks = String::new();
+            for _ in 0..100 {
+                event += 1;
+                let text = format!("id: {event}\ndata: {version} {}\n\n", "x".repeat(400));
+                let _ = write!(chunks, "{:x}\r\n{text}\r\n", text.len());
+            }
+            writer.write_all(chunks.as_bytes()).ok()?;
+        }
         for event in last + 1..=self.events {
             sleep(self.gap);
             if !self.is_running.load(Ordering::SeqCst) {
--- a/review/kit-3/tests/lab.rs
+++ b/review/kit-3/tests/lab.rs
@@ -48,8 +48,16 @@
     admin: SocketAddr,
 }
 
+/// What a machine of gateways has.
+pub struct Machine {
+    pub cores: f64,
+    pub descriptors: u32,
+    pub memory_mb: u64,
+}
+
 /// The parts of a run.
 pub struct Lab {
+    pub machine: Machine,
     folder: PathBuf,
     pub record: Arc<Record>,
     pub store: Arc<Store>,
@@ -107,6 +115,15 @@
         self.process = Gateway::launch(&self.settings).unwrap();
     }
 
+    /// Returns the most memory that its process has taken so far, in bytes.
+    pub fn peak_bytes(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.process.id());
+        let status = fs::read_to_string(path).unwrap_or_default();
+        let line = status.lines().find(|line| line.starts_with("VmHWM:")).unwrap_or_default();
+        let kilobytes = line.split_whitespace().nth(1).and_then(|it| it.parse::<u64>().ok());
+        kilobytes.unwrap_or(0) * 1_024
+    }
+
     fn is_ready(&self) -> bool {
         let Ok(mut stream) = TcpStream::connect(self.admin) else { return false };
         let _ = stream.set_read_timeout(Some(Duration::from_secs(1)));
@@ -129,6 +146,7 @@
         let store = Store::start(address);
         store.write("op/config", CONFIGURATION);
         Lab {
+            machine: Machine { cores: 0.19, descriptors: 4_100, memory_mb: 260 },
             folder: folder.to_owned(),
             record: Arc::new(Record { start: Instant::now(), lines: Mutex::default() }),
             store,
@@ -144,6 +162,7 @@
     /// for the site, and waits until all are ready.
     pub fn start_gateways(&mut self, centres: &[&str]) -> Result<(), String> {
         let controls: Vec<SocketAddr> = centres.iter().map(|_| free_address()).collect();
+        let Machine { cores, descriptors, memory_mb } = self.machine;
         let seeds: Vec<String> = controls.iter().take(3).map(|it| format!("\"{it}\"")).collect();
         for (index, (centre, control)) in centres.iter().zip(&controls).enumerate() {
             let (clients, admin, store) = (free_address(), free_address(), self.address);
@@ -165,9 +184,9 @@
 writes_per_s = 400
 
 [limit]
-cores = 0.19
-descriptors = 4100
-memory_mb = 260
+cores = {cores}
+descriptors = {descriptors}
+memory_mb = {memory_mb}
 stop_notice_ms = 2600
 stop_grace_ms = 4800
 
--- a/review/kit-3/tests/main.rs
+++ b/review/kit-3/tests/main.rs
@@ -3,6 +3,7 @@
 
 mod cases;
 mod engine;
+mod flood;
 mod http;
 mod json;
 mod lab;
@@ -35,7 +36,10 @@
         lab::kill_started();
         exit(2);
     });
-    let outcome = catch_unwind(AssertUnwindSafe(|| cases::run(case, &folder, record)));
+    let outcome = catch_unwind(AssertUnwindSafe(|| match case.as_str() {
+        "flood" => flood::run(&folder, record),
+        case => cases::run(case, &folder, record),
+    }));
     lab::kill_started();
     if std::env::var_os("KEEP").is_none() {
         let _ = std::fs::remove_dir_all(&folder);
