--- a/review/kit-3/tests/cases.rs
+++ b/review/kit-3/tests/cases.rs
@@ -57,11 +57,11 @@
 
 /// A rollout in place, and a drill in which the store comes back from a copy.
 fn drill(lab: &mut Lab) -> Result<Traffic, String> {
-    let addresses = addresses(3);
+    let addresses = addresses(5);
     let engines = start_engines(lab, &addresses);
     lab.start_gateways(&CENTRES)?;
     sleep(SETTLE_TIME);
-    let traffic = Traffic::start(lab, 16);
+    let traffic = Traffic::start(lab, 59);
     let start = Instant::now();
     until(start, 4.0);
     let copy = lab.store.copy();
@@ -77,7 +77,7 @@
     until(start, 8.0);
     engines[1].drain();
     until(start, 8.8);
-    let running = [&next, &engines[1], &engines[2]];
+    let running: Vec<&Arc<Engine>> = engines[1..].iter().chain([&next]).collect();
     if lab.is_troubled {
         running.iter().for_each(|engine| engine.reaches_store.store(false, Ordering::SeqCst));
         lab.store.set_mode(Mode::Reset);
@@ -91,7 +91,7 @@
     until(start, 10.6);
     engines[1].end("exits after its drain time");
     until(start, 11.2);
-    for engine in [&next, &engines[2]] {
+    for engine in engines[2..].iter().chain([&next]) {
         engine.reaches_store.store(true, Ordering::SeqCst);
         engine.report();
     }
@@ -104,7 +104,7 @@
 /// A rollout of new engines after a planned restart of a gateway; then three gateways are killed at the
 /// end of an outage of the store, four times.
 fn kills(lab: &mut Lab) -> Result<Traffic, String> {
-    start_engines(lab, &addresses(3));
+    let engines = start_engines(lab, &addresses(9));
     lab.start_gateways(&CENTRES)?;
     sleep(SETTLE_TIME);
     lab.record.add("gateway 4 gets SIGTERM, and is started again");
@@ -112,11 +112,17 @@
     sleep(SETTLE_TIME);
     let traffic = Traffic::start(lab, 100);
     let start = Instant::now();
-    until(start, 1.0);
-    for (index, address) in addresses(6).iter().enumerate() {
+    for (index, address) in addresses(4).iter().enumerate() {
+        until(start, 1.0 + index as f64);
         Engine::start(&format!("i-new-{index}"), *address, "v2", lab).keep_reporting();
+        engines[index].drain();
+    }
+    for (index, engine) in engines[..4].iter().enumerate() {
+        until(start, 7.2 + index as f64 * 0.2);
+        engine.end("exits after its drain time");
+        lab.store.delete(&format!("servers/i-{index}"));
     }
-    for begin in [5.0, 13.0, 21.0, 29.0] {
+    for begin in [9.0, 17.0, 25.0, 33.0] {
         until(start, begin);
         if lab.is_troubled {
             lab.store.set_mode(Mode::Silent);
@@ -135,7 +141,7 @@
             lab.record.add("they are started again");
         }
     }
-    until(start, 36.0);
+    until(start, 40.0);
     Ok(traffic)
 }
 
