Log where a new stream is recorded and what its version is inferred from

Four explanations fit: no row and no replica is left and the version is inferred from journals (the claim); a row or a replica has the wrong version; a gateway that runs still has a replica but isn't asked; the row is written but not read yet. The log told only that a version was inferred.

Change: debug lines say whether the store and another gateway have a new stream, which gateways took its replica, and what each lookup was asked and found.

--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -109,7 +109,7 @@
         now: Duration,
     ) -> bool {
         self.ledger.lock().record(&endpoint.service, &endpoint.version, stream, now);
-        self.secure(endpoint, now).await
+        self.secure(endpoint, stream, now).await
     }
 
     /// Records that a stream began at another version than was recorded, that of this endpoint, and
@@ -121,18 +121,19 @@
         now: Duration,
     ) -> bool {
         self.ledger.lock().correct(&endpoint.service, &endpoint.version, stream, now);
-        self.secure(endpoint, now).await
+        self.secure(endpoint, stream, now).await
     }
 
     /// Waits until others know the last stream of an endpoint. Returns whether they do, or can tell its
     /// version otherwise.
-    async fn secure(&self, endpoint: &Endpoint, now: Duration) -> bool {
+    async fn secure(&self, endpoint: &Endpoint, stream: StreamId, now: Duration) -> bool {
         if !self.ledger.lock().is_recorded(&endpoint.service, now) {
             return true;
         }
         let number = self.recording.add();
         self.changed.notify_one();
         let is_known = self.recording.wait(number, now).await;
+        record::recorded(endpoint, stream, self.recording.places(number));
         if !is_known {
             record::unsecured(endpoint);
         }
@@ -184,6 +185,9 @@
                     let is_stored = stream.and_then(find).is_some();
                     let source = if is_stored { "stored" } else { "inferred" };
                     record::known_version(service, stream, version, source);
+                    if !is_stored {
+                        record::inference(service, stream, &stored);
+                    }
                     return Some(Arc::from(version));
                 }
                 Origin::Pending if Instant::now() + PENDING_INTERVAL < deadline => {
--- a/crates/gateway/src/origins/progress.rs
+++ b/crates/gateway/src/origins/progress.rs
@@ -19,6 +19,11 @@
         self.tried.send_replace(number);
     }
 
+    /// Whether the stream with a number is recorded.
+    pub(crate) fn is_done(&self, number: u64) -> bool {
+        *self.done.borrow() >= number
+    }
+
     /// Waits until the stream with a number was tried.
     pub(crate) async fn wait_tried(&self, number: u64) {
         wait(&self.tried, number).await;
--- a/crates/gateway/src/origins/recording.rs
+++ b/crates/gateway/src/origins/recording.rs
@@ -81,6 +81,11 @@
         is_done
     }
 
+    /// Returns whether the store has the stream with a number, and whether another gateway has.
+    pub(crate) fn places(&self, number: u64) -> (bool, bool) {
+        (self.stored.is_done(number), self.replicated.is_done(number))
+    }
+
     /// Returns how long no stream begins that has to be recorded, as the last one could not be; `None`
     /// if streams begin.
     pub(crate) fn paused_for(&self, now: Duration) -> Option<Duration> {
--- a/crates/gateway/src/peer/finder.rs
+++ b/crates/gateway/src/peer/finder.rs
@@ -46,7 +46,10 @@
             async { self.connections.client(member).await?.look_up(asked, ANSWER_TIMEOUT).await };
         let routing = self.peers.routing();
         match found.await {
-            Ok(found) => routing.origins().learn(&found, routing.now()),
+            Ok(found) => {
+                log::debug!(peer = member.vm.as_str(), asked:?, found:?; "streams are looked up");
+                routing.origins().learn(&found, routing.now());
+            }
             Err(error) => {
                 log::info!(peer = member.vm.as_str(); "streams can't be looked up: {error}");
                 self.connections.remove(&member.vm);
--- a/crates/gateway/src/peer/replicator.rs
+++ b/crates/gateway/src/peer/replicator.rs
@@ -87,7 +87,10 @@
             client.replicate(streams).await
         };
         let error = match timeout(CALL_TIMEOUT, call).await {
-            Ok(Ok(())) => return true,
+            Ok(Ok(())) => {
+                log::debug!(peer = member.vm.as_str(), streams:?; "new streams are replicated");
+                return true;
+            }
             Ok(Err(error)) => error.to_string(),
             Err(_) => "it did not answer in time".to_owned(),
         };
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -149,6 +149,22 @@
     .increment(1);
 }
 
+/// Records where a new stream is recorded before its first event: in the store, and at another gateway.
+pub(crate) fn recorded(endpoint: &Endpoint, stream: StreamId, places: (bool, bool)) {
+    let (is_stored, is_replicated) = places;
+    log::debug!(stream, version = &*endpoint.version, is_stored, is_replicated;
+        "a new stream is recorded");
+}
+
+/// Records what the version of a stream that has no row was inferred from: how many processes have
+/// journals, and the versions of each of them.
+pub(crate) fn inference(service: &str, stream: Option<StreamId>, stored: &Stored) {
+    let versions = stored.journals.iter().map(|journal| journal.versions(service).join("+"));
+    let versions: Vec<String> = versions.collect();
+    log::info!(service, stream:?, journals = stored.journals.len(), versions:?;
+        "no row has the stream, so its version is inferred");
+}
+
 /// Records that a stream was cut before its first event, as neither the store nor another gateway could
 /// record which endpoint began it.
 pub(crate) fn unsecured(endpoint: &Endpoint) {
--- a/crates/policy/src/origin/journal.rs
+++ b/crates/policy/src/origin/journal.rs
@@ -32,7 +32,7 @@
     }
 
     /// Returns the versions of a service that the process may have used lately, sorted.
-    pub(crate) fn versions(&self, service: &str) -> Vec<&str> {
+    pub fn versions(&self, service: &str) -> Vec<&str> {
         let segments = self.segments.iter();
         let mut versions: Vec<&str> =
             segments.flat_map(|segment| segment.versions(service)).collect();
