--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -85,7 +85,8 @@
     }
     let routing = &worker.context.routing;
     if request.metadata.last_event.is_none() {
-        let left = routing.origins().refused_for(&request.service, routing.now());
+        let endpoints = || routing.endpoints();
+        let left = routing.origins().refused_for(&request.service, endpoints, routing.now());
         return left.map_or(Ok(None), |left| Err(Refusal::Unsecured(left)));
     }
     let version = routing.find_version(&request.service, request.stream_id(), request.deadline);
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -1,5 +1,6 @@
 //! Which versions began the streams that clients take up, as this gateway knows it.
 
+mod outage;
 mod own_journal;
 mod progress;
 mod reading;
@@ -12,6 +13,7 @@
 
 use parking_lot::Mutex;
 use policy::origin;
+use policy::origin::Custody;
 use policy::origin::Ledger;
 use policy::origin::Loss;
 use policy::origin::Origin;
@@ -19,18 +21,21 @@
 use policy::origin::Segment;
 use policy::origin::StreamId;
 use route::Endpoint;
+use rpc::view::Pledge;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout_at;
 
+pub(crate) use outage::Signal;
 pub(crate) use own_journal::OwnJournal;
 pub(crate) use reading::Reading;
 pub(crate) use recording::Recording;
 pub(crate) use stored::Stored;
 
 use crate::history::History;
+use crate::origins::outage::Outage;
 use crate::record;
 
 /// Longest time for which a request to resume a stream waits until the version that began it is
@@ -59,6 +64,8 @@
     pub(crate) recording: Recording,
     /// The last time at which the store had lost journals.
     loss: Mutex<Option<Lost>>,
+    /// The last time at which the store was away.
+    outage: Mutex<Outage>,
     /// Streams whose versions the next read looks up at other gateways. Their rows have no versions.
     asked: Mutex<Segment>,
     /// Signals that there is something to store.
@@ -78,6 +85,7 @@
             journal: OwnJournal::default(),
             recording: Recording::default(),
             loss: Mutex::default(),
+            outage: Mutex::default(),
             asked: Mutex::default(),
             changed: Notify::new(),
             wanted: watch::Sender::default(),
@@ -127,13 +135,19 @@
     /// Waits until others know the last stream of an endpoint. Returns whether they do, or can tell its
     /// version otherwise.
     async fn secure(&self, endpoint: &Endpoint, stream: StreamId, now: Duration) -> bool {
-        if !self.ledger.lock().is_recorded(&endpoint.service, now) {
-            return true;
-        }
+        let custody = {
+            let ledger = self.ledger.lock();
+            if !ledger.is_recorded(&endpoint.service, now) {
+                return true;
+            }
+            let is_mixed = ledger.is_mixed(&endpoint.service, now);
+            let is_named = self.journal.names(&endpoint.service, &endpoint.version);
+            Custody { is_named, is_mixed, ..Custody::default() }
+        };
         let number = self.recording.add();
         self.changed.notify_one();
-        let is_known = self.recording.wait(number, now).await;
-        record::recorded(endpoint, stream, self.recording.places(number));
+        let is_known = self.recording.wait(number, custody, now).await;
+        record::recorded(endpoint, stream, self.recording.custody(number, custody));
         if !is_known {
             record::unsecured(endpoint);
         }
@@ -141,10 +155,31 @@
     }
 
     /// Returns how long streams of a service are refused, as the last one could not be recorded;
-    /// `None` if they may begin.
-    pub(crate) fn refused_for(&self, service: &str, now: Duration) -> Option<Duration> {
-        let left = self.recording.paused_for(now)?;
-        self.ledger.lock().is_recorded(service, now).then_some(left)
+    /// `None` if they may begin at one of the endpoints.
+    pub(crate) fn refused_for(
+        &self,
+        service: &str,
+        endpoints: impl FnOnce() -> Vec<Arc<Endpoint>>,
+        now: Duration,
+    ) -> Option<Duration> {
+        let needs_row = {
+            let ledger = self.ledger.lock();
+            if !ledger.is_recorded(service, now) {
+                return None;
+            }
+            ledger.is_mixed(service, now)
+        };
+        let left = self.recording.paused_for(false, now);
+        if left.is_some() || !needs_row {
+            return left;
+        }
+        let left = self.recording.paused_for(true, now)?;
+        let is_named =
+            |endpoint: &Arc<Endpoint>| self.journal.names(&endpoint.service, &endpoint.version);
+        let mut endpoints = endpoints();
+        endpoints.retain(|endpoint| &*endpoint.service == service);
+        // Those with a version that the journal names are preferred.
+        (!endpoints.iter().any(is_named)).then_some(left)
     }
 
     /// Lets streams wait for the tasks that store and replicate them. Until the store has the versions
@@ -177,6 +212,10 @@
                 record::unknown_version(service, "unread", &Stored::default());
                 return None;
             };
+            if stream.is_some_and(|stream| !stored.asked.has(service, stream)) {
+                // A later read replaced the one that looked the stream up.
+                continue;
+            }
             let (history, now) = history();
             let outlook = self.outlook(stored.restores, &history, now);
             match origin::resolve(&stored.journals, &outlook, service, stream) {
@@ -230,15 +269,19 @@
         stream: Option<StreamId>,
         deadline: Instant,
     ) -> Option<Arc<Stored>> {
-        if let Some(stream) = stream {
-            self.asked.lock().add(service, "", stream);
-        }
         let mut reading = self.reading.subscribe();
         let mut number = 0;
-        self.wanted.send_modify(|wanted| {
-            *wanted += 1;
-            number = *wanted;
-        });
+        {
+            // The read with this number has to look the stream up.
+            let mut asked = self.asked.lock();
+            if let Some(stream) = stream {
+                asked.add(service, "", stream);
+            }
+            self.wanted.send_modify(|wanted| {
+                *wanted += 1;
+                number = *wanted;
+            });
+        }
         let read = reading.wait_for(|reading| reading.number >= number);
         timeout_at(deadline, read).await.ok()?.ok()?.stored.clone()
     }
@@ -246,7 +289,7 @@
     /// Returns what this gateway itself knows of versions, to go with what was stored when the store
     /// had come back from a copy this often.
     fn outlook(&self, restores: u64, history: &History, now: Duration) -> Outlook {
-        let lost = *self.loss.lock();
+        let (lost, orphans) = (*self.loss.lock(), self.orphans(now));
         let ledger = self.ledger.lock();
         let versions = ledger.versions(now);
         let loss = lost.map(|lost| Loss {
@@ -257,7 +300,7 @@
         let is_same = history.restores == restores;
         let age = if is_same { now.saturating_sub(history.since) } else { Duration::ZERO };
         let loss = loss.filter(|loss| loss.age < Loss::MAX_AGE);
-        Outlook { versions, age, is_first: is_same && history.is_first, loss }
+        Outlook { versions, age, is_first: is_same && history.is_first, loss, orphans }
     }
 
     /// Records that the store has lost journals, among them that of this gateway, since it went away. All
@@ -271,15 +314,23 @@
 
     /// Records that the store has the versions of this gateway, under a common prefix of its keys. Those
     /// are all that count if those of the other gateways are known as well.
-    pub(crate) fn set_stored(&self, prefix: &str, versions: &Segment, is_complete: bool) {
+    pub(crate) fn set_stored(
+        &self,
+        prefix: &str,
+        versions: &Segment,
+        is_complete: bool,
+        valid_until: Instant,
+    ) {
         self.ledger.lock().set_unstored(!is_complete);
-        self.journal.set(prefix, versions);
+        self.journal.set(prefix, versions, valid_until);
     }
 
-    /// Returns what is to be stored: the versions, and the segments with their places in a ring.
-    pub(crate) fn to_store(&self, now: Duration) -> (Segment, Vec<(u64, Segment)>) {
+    /// Returns what is to be stored: the versions, the segments with their places in a ring, and the
+    /// versions of streams without a journal.
+    pub(crate) fn to_store(&self, now: Duration) -> (Segment, Vec<(u64, Segment)>, Segment) {
+        let orphans = self.orphans(now);
         let ledger = self.ledger.lock();
-        (ledger.versions(now), ledger.mixed_segments(now))
+        (ledger.versions(now), ledger.mixed_segments(now), orphans)
     }
 
     /// Returns the streams of other gateways that this one stores, with their places in a ring: those
@@ -302,15 +353,39 @@
         self.changed.notify_one();
     }
 
-    /// Records versions that other gateways may use.
+    /// Records streams as [`Origins::adopt`] does. Unless the journal of this process names their versions, it
+    /// waits until the store has them. Returns what this process answers for.
+    pub(crate) fn persist<'a>(
+        &'a self,
+        streams: &Segment,
+        now: Duration,
+    ) -> impl Future<Output = Pledge> + use<'a> {
+        self.adopt(streams, now);
+        let is_named = self.journal.has_versions(streams);
+        let number = self.recording.add();
+        // The write that this asks for covers the number, unlike one that has begun already.
+        self.changed.notify_one();
+        async move {
+            let is_stored = !is_named && self.recording.wait_stored(number).await;
+            Pledge { is_stored, is_named }
+        }
+    }
+
+    /// Records versions that other gateways may use or may have used.
     pub(crate) fn learn_versions(&self, stored: &Stored, now: Duration) {
         let mut ledger = self.ledger.lock();
         let segments = stored.journals.iter().flat_map(|journal| &journal.segments);
-        for row in segments.flat_map(|segment| &segment.rows) {
+        let orphans = stored.journals.iter().map(|journal| &journal.orphans);
+        for row in segments.chain(orphans).flat_map(|segment| &segment.rows) {
             ledger.announce(&row.service, &row.version, now);
         }
     }
 
+    /// Whether this process knows all streams that it began and that clients still come back for.
+    pub(crate) fn has_all(&self, now: Duration) -> bool {
+        self.ledger.lock().has_all(now)
+    }
+
     /// Returns the versions of those streams of a segment that began here or were replicated here.
     pub(crate) fn look_up(&self, asked: &Segment) -> Segment {
         let mut found = Segment::default();
@@ -324,9 +399,47 @@
         found
     }
 
-    /// Removes and returns the streams that the next read looks up at other gateways.
-    pub(crate) fn take_asked(&self) -> Segment {
-        mem::take(&mut self.asked.lock())
+    /// Returns the number of the next read, and the streams that it looks up at other gateways, which are
+    /// removed.
+    pub(crate) fn take_asked(&self) -> (u64, Segment) {
+        let mut asked = self.asked.lock();
+        (*self.wanted.borrow(), mem::take(&mut asked))
+    }
+
+    /// Returns those streams of a segment for which no row and no replica is known, of services of which
+    /// the journals know several versions. Only for these it counts who may have begun them.
+    pub(crate) fn unresolved(&self, asked: &Segment, stored: &Stored) -> Segment {
+        let mut unresolved = Segment::default();
+        for row in &asked.rows {
+            let versions = stored.journals.iter().flat_map(|it| it.versions(&row.service));
+            let mut versions: Vec<&str> = versions.collect();
+            versions.sort_unstable();
+            versions.dedup();
+            if versions.len() < 2 {
+                continue;
+            }
+            let is_known = |stream: &&StreamId| {
+                self.known(&row.service, **stream).is_some()
+                    || origin::find(&stored.journals, &row.service, **stream).is_some()
+            };
+            for stream in row.streams.iter().filter(|stream| !is_known(stream)) {
+                unresolved.add(&row.service, "", *stream);
+            }
+        }
+        unresolved
+    }
+
+    /// Records whether the store is away, as far as one of this gateway's tasks can tell.
+    pub(crate) fn set_away(&self, signal: Signal, is_away: bool, now: Duration) {
+        let versions = || self.ledger.lock().versions(now);
+        self.outage.lock().set(signal, is_away, now, versions);
+    }
+
+    /// Returns the versions at which processes may have begun streams that ended before they had a
+    /// journal, as the store was away.
+    fn orphans(&self, now: Duration) -> Segment {
+        let versions = || self.ledger.lock().versions(now);
+        self.outage.lock().orphans(now, versions)
     }
 
     /// Returns the streams that began since a time and still have to be replicated to other gateways.
--- /dev/null
+++ b/crates/gateway/src/origins/outage.rs
@@ -0,0 +1,64 @@
+//! The last time at which the store was away.
+
+use std::time::Duration;
+
+use policy::origin::Loss;
+use policy::origin::Segment;
+
+/// The last time at which the store was away, as far as this gateway knows. A process that began and ended
+/// within it has no journal. See `docs/decisions/versions.md`.
+#[derive(Debug, Default)]
+pub(crate) struct Outage {
+    /// Whether reads succeeded before. A process that starts has not read anything yet.
+    has_read: bool,
+    are_reads_failing: bool,
+    are_writes_failing: bool,
+    /// The time of its end, and the versions that were known then.
+    last: Option<(Duration, Segment)>,
+}
+
+/// What tells that the store is away.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Signal {
+    /// Changes can't be read.
+    Reads,
+    /// The last write of streams failed, or takes long.
+    Writes,
+}
+
+impl Outage {
+    /// Records whether one of the signals tells that the store is away.
+    pub(crate) fn set(
+        &mut self,
+        signal: Signal,
+        is_away: bool,
+        now: Duration,
+        versions: impl FnOnce() -> Segment,
+    ) {
+        let was_away = self.is_away();
+        match signal {
+            Signal::Reads => {
+                self.has_read |= !is_away;
+                self.are_reads_failing = is_away && self.has_read;
+            }
+            Signal::Writes => self.are_writes_failing = is_away,
+        }
+        if was_away && !self.is_away() {
+            self.last = Some((now, versions()));
+        }
+    }
+
+    /// Returns the versions at which a process that ended without a journal may have begun streams that
+    /// clients still come back for.
+    pub(crate) fn orphans(&self, now: Duration, versions: impl FnOnce() -> Segment) -> Segment {
+        match &self.last {
+            _ if self.is_away() => versions(),
+            Some((end, versions)) if now.saturating_sub(*end) < Loss::MAX_AGE => versions.clone(),
+            _ => Segment::default(),
+        }
+    }
+
+    fn is_away(&self) -> bool {
+        self.are_reads_failing || self.are_writes_failing
+    }
+}
--- a/crates/gateway/src/origins/own_journal.rs
+++ b/crates/gateway/src/origins/own_journal.rs
@@ -5,24 +5,40 @@
 use std::sync::atomic::Ordering;
 
 use parking_lot::Mutex;
-use policy::origin::Row;
+use policy::origin::Process;
 use policy::origin::Segment;
 use services::store::Entry;
+use tokio::time::Instant;
 
 /// The journal of this process, as far as the store has it.
 #[derive(Debug, Default)]
 pub(crate) struct OwnJournal {
     /// Sorted by service and version; empty if the store has none.
     versions: Mutex<Arc<Vec<(String, String)>>>,
+    /// Name of this process, once it is known.
+    process: Mutex<Process>,
     /// Common prefix of its keys, once they are written.
     prefix: Mutex<Option<String>>,
+    /// Time until which the store has it for sure, unless it was away.
+    valid_until: Mutex<Option<Instant>>,
     /// Whether the store may have lost it.
     is_doubtful: AtomicBool,
 }
 
 impl OwnJournal {
-    /// Records that the store has it.
-    pub(crate) fn set(&self, prefix: &str, versions: &Segment) {
+    /// Sets the name of this process.
+    pub(crate) fn set_process(&self, process: &str) {
+        process.clone_into(&mut self.process.lock());
+    }
+
+    /// Returns the name of this process, which is empty until it is known.
+    pub(crate) fn process(&self) -> Process {
+        self.process.lock().clone()
+    }
+
+    /// Records that the store has it, and until when.
+    pub(crate) fn set(&self, prefix: &str, versions: &Segment, valid_until: Instant) {
+        *self.valid_until.lock() = Some(valid_until);
         let rows = versions.rows.iter();
         let rows = rows.map(|row| (row.service.clone(), row.version.clone()));
         *self.versions.lock() = Arc::new(rows.collect());
@@ -40,16 +56,19 @@
         Arc::clone(&self.versions.lock())
     }
 
-    /// Whether it names the version of each stream of a segment. If it does, other gateways take a stream
-    /// that the store lacks for unknown, and not for one of another version.
-    pub(crate) fn has_versions(&self, streams: &Segment) -> bool {
-        let versions = self.versions();
-        let has = |row: &Row| {
-            let key = (row.service.as_str(), row.version.as_str());
-            let find = |other: &(String, String)| (other.0.as_str(), other.1.as_str()).cmp(&key);
-            versions.binary_search_by(find).is_ok()
+    /// Whether it names a version, so that other gateways take a stream that the store lacks for one of
+    /// this version or for unknown.
+    pub(crate) fn names(&self, service: &str, version: &str) -> bool {
+        let find = |other: &(String, String)| {
+            (other.0.as_str(), other.1.as_str()).cmp(&(service, version))
         };
-        streams.rows.iter().all(has)
+        let is_valid = self.valid_until.lock().is_some_and(|until| Instant::now() < until);
+        is_valid && self.versions().binary_search_by(find).is_ok()
+    }
+
+    /// Whether it names the version of each stream of a segment.
+    pub(crate) fn has_versions(&self, streams: &Segment) -> bool {
+        streams.rows.iter().all(|row| self.names(&row.service, &row.version))
     }
 
     /// Checks whether its keys are among all that the store has. Returns whether they have gone.
--- a/crates/gateway/src/peer/finder.rs
+++ b/crates/gateway/src/peer/finder.rs
@@ -4,10 +4,13 @@
 
 use futures_util::future::join_all;
 use parking_lot::Mutex;
+use policy::origin::Process;
 use policy::origin::Segment;
 use policy::relay::Duty;
 use policy::relay::Failures;
+use rpc::view::Attestation;
 
+use crate::origins::Stored;
 use crate::peer::Connections;
 use crate::peer::Member;
 use crate::peer::Peers;
@@ -15,6 +18,10 @@
 /// Time limit for an answer, for which clients wait: several round trips between data centres.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Most gateways that are asked beside the witnesses whether they began a stream that nobody knows. In a
+/// larger fleet such streams are refused.
+const MAX_ASKED: usize = 64;
+
 /// Looks up streams of gateways that could not store them. See `docs/decisions/versions.md`.
 pub(crate) struct Finder<'a> {
     peers: &'a Peers,
@@ -30,31 +37,65 @@
         Finder { peers, connections: Connections::new(ANSWER_TIMEOUT), failures }
     }
 
-    /// Records which versions began those streams of which other gateways know it.
-    pub(crate) async fn find(&self, asked: &Segment) {
+    /// Records which versions began those streams of which other gateways know it. Returns the processes
+    /// that answered, which began none of the others.
+    pub(crate) async fn find(&self, asked: &Segment) -> Vec<Process> {
         if asked.rows.is_empty() {
-            return;
+            return Vec::new();
+        }
+        self.ask_all(&self.peers.witnesses(), asked).await
+    }
+
+    /// Asks the gateways of processes that have a journal and have not answered, until it is known which
+    /// ones may have begun the streams that nobody knows.
+    pub(crate) async fn exclude(
+        &self,
+        asked: &Segment,
+        stored: &Stored,
+        answered: &[Process],
+    ) -> Vec<Process> {
+        let mut vms: Vec<&str> =
+            stored.journals.iter().map(|journal| vm(&journal.process)).collect();
+        vms.sort_unstable();
+        vms.dedup();
+        vms.retain(|vm| answered.iter().all(|process| self::vm(process) != *vm));
+        let mut members = self.peers.members();
+        members.retain(|member| vms.binary_search(&member.vm.as_str()).is_ok());
+        if members.len() > MAX_ASKED {
+            return Vec::new();
         }
+        self.ask_all(&members, asked).await
+    }
+
+    async fn ask_all(&self, members: &[Member], asked: &Segment) -> Vec<Process> {
         let now = self.peers.routing().now();
-        let mut witnesses = self.peers.witnesses();
-        witnesses.retain(|member| self.failures.lock().allows(&member.vm, now));
-        join_all(witnesses.iter().map(|member| self.ask(member, asked))).await;
+        let is_allowed = |member: &&Member| self.failures.lock().allows(&member.vm, now);
+        let answers = members.iter().filter(is_allowed).map(|member| self.ask(member, asked));
+        join_all(answers).await.into_iter().flatten().collect()
     }
 
-    async fn ask(&self, member: &Member, asked: &Segment) {
-        let found =
-            async { self.connections.client(member).await?.look_up(asked, ANSWER_TIMEOUT).await };
+    /// Asks a gateway; returns its process if it knows all streams that it began.
+    async fn ask(&self, member: &Member, asked: &Segment) -> Option<Process> {
+        let answer =
+            async { self.connections.client(member).await?.attest(asked, ANSWER_TIMEOUT).await };
         let routing = self.peers.routing();
-        match found.await {
-            Ok(found) => {
-                log::debug!(peer = member.vm.as_str(), asked:?, found:?; "streams are looked up");
-                routing.origins().learn(&found, routing.now());
+        match answer.await {
+            Ok(Attestation { process, streams }) => {
+                log::debug!(peer = member.vm.as_str(), asked:?, streams:?; "streams are looked up");
+                routing.origins().learn(&streams, routing.now());
+                (!process.is_empty()).then_some(process)
             }
             Err(error) => {
                 log::info!(peer = member.vm.as_str(); "streams can't be looked up: {error}");
                 self.connections.remove(&member.vm);
                 self.failures.lock().record(&member.vm, routing.now());
+                None
             }
         }
     }
 }
+
+/// Returns the VM of a process.
+fn vm(process: &str) -> &str {
+    process.rsplit_once('/').map_or(process, |(vm, _)| vm)
+}
--- a/crates/gateway/src/peer/journals.rs
+++ b/crates/gateway/src/peer/journals.rs
@@ -11,6 +11,10 @@
 /// Then follow the VM, the process with the number of restores of the store, and the segment.
 pub(crate) const PREFIX: &str = "lycheeknot-streams/";
 
+/// Name of the segment with versions of streams without a journal. Earlier builds take these for versions
+/// that the process itself may have used.
+pub(crate) const ORPHANS: &str = "orphans";
+
 /// Decodes what all gateways have stored. Keys of another form are left out.
 pub(crate) fn decode(entries: &[Entry]) -> Stored {
     let restores = entries.iter().map(|entry| version::restores(entry.version)).max();
@@ -27,11 +31,13 @@
         let process = &mut processes[index];
         process.is_current |= place.restores == Some(restores);
         match decode_segment(entry) {
+            Some(segment) if place.name == ORPHANS => process.orphans = segment,
             Some(segment) => process.segments.push(segment),
             None => process.is_malformed = true,
         }
     }
-    Stored { restores, journals: processes.into_iter().map(Process::into_journal).collect() }
+    let journals = processes.into_iter().map(Process::into_journal).collect();
+    Stored { restores, journals, asked: Segment::default() }
 }
 
 /// What the keys of one process hold.
@@ -42,12 +48,19 @@
     is_current: bool,
     is_malformed: bool,
     segments: Vec<Segment>,
+    orphans: Segment,
 }
 
 impl Process<'_> {
     fn into_journal(self) -> Journal {
         let is_complete = self.is_current && !self.is_malformed;
-        Journal { is_complete, segments: self.segments }
+        Journal {
+            process: self.name.to_owned(),
+            is_excluded: false,
+            is_complete,
+            segments: self.segments,
+            orphans: self.orphans,
+        }
     }
 }
 
@@ -56,18 +69,20 @@
     process: &'a str,
     /// Number of restores of the store before it was written; `None` if another build wrote it.
     restores: Option<u64>,
+    /// The name of the segment.
+    name: &'a str,
 }
 
 impl Place<'_> {
     /// Parses a key; `None` if it is none of a segment.
     fn parse(key: &str) -> Option<Place<'_>> {
-        let (process, _) = key.strip_prefix(PREFIX)?.rsplit_once('/')?;
+        let (process, name) = key.strip_prefix(PREFIX)?.rsplit_once('/')?;
         let with_restores = process.rsplit_once('.');
         let parsed =
             with_restores.and_then(|(process, number)| Some((process, number.parse().ok()?)));
         Some(match parsed {
-            Some((process, restores)) => Place { process, restores: Some(restores) },
-            None => Place { process, restores: None },
+            Some((process, restores)) => Place { process, restores: Some(restores), name },
+            None => Place { process, restores: None, name },
         })
     }
 }
--- a/crates/gateway/src/peer/peers.rs
+++ b/crates/gateway/src/peer/peers.rs
@@ -11,6 +11,7 @@
 use policy::exchange::Report;
 use policy::observation;
 use policy::observation::Observations;
+use policy::origin::Process;
 use policy::origin::Segment;
 use policy::quarantine::Digest;
 use policy::rate_limit;
@@ -20,14 +21,17 @@
 use policy::relay::Failures;
 use policy::relay::Order;
 use rpc::view::Answer;
+use rpc::view::Attestation;
 use rpc::view::Cursor;
 use rpc::view::Delta;
 use rpc::view::Loads;
+use rpc::view::Pledge;
 use rpc::view::Source;
 use tokio::sync::watch;
 use tokio::time::timeout;
 
 use crate::Routing;
+use crate::origins::Signal;
 use crate::peer::Exchange;
 use crate::peer::Member;
 use crate::peer::Mirror;
@@ -196,6 +200,12 @@
         hubs.into_iter().map(|index| members[index].clone()).collect()
     }
 
+    /// Returns the other gateways that are registered.
+    pub(crate) fn members(&self) -> Vec<Member> {
+        let members = self.members.lock();
+        members.iter().filter(|member| member.vm != self.own.vm).cloned().collect()
+    }
+
     /// Returns the gateways to which streams are replicated and at which they are looked up, the ones
     /// that are asked first first: the hubs, and others where there is room. While no others are
     /// registered, they are the configured addresses.
@@ -250,6 +260,7 @@
             change(&mut mirror);
             (mirror.restores(), !mirror.lost().is_empty())
         };
+        self.routing.origins().set_away(Signal::Reads, is_lost, self.routing.now());
         if self.presence.set(is_lost, self.routing.now()) {
             self.routing.origins().changed.notify_one();
         }
@@ -372,6 +383,10 @@
         self.routing.origins().adopt(streams, self.routing.now());
     }
 
+    fn persist_streams(&self, streams: &Segment) -> BoxFuture<'_, Pledge> {
+        self.routing.origins().persist(streams, self.routing.now()).boxed()
+    }
+
     fn streams(&self) -> Segment {
         self.routing.origins().recent_since(Duration::ZERO, self.routing.now())
     }
@@ -379,4 +394,11 @@
     fn look_up_streams(&self, asked: &Segment) -> Segment {
         self.routing.origins().look_up(asked)
     }
+
+    fn attest_streams(&self, asked: &Segment) -> Attestation {
+        let origins = self.routing.origins();
+        let has_all = origins.has_all(self.routing.now());
+        let process = if has_all { origins.journal.process() } else { Process::default() };
+        Attestation { process, streams: origins.look_up(asked) }
+    }
 }
--- a/crates/gateway/src/peer/streams.rs
+++ b/crates/gateway/src/peer/streams.rs
@@ -20,6 +20,7 @@
 
 use crate::origins::Origins;
 use crate::origins::Reading;
+use crate::origins::Signal;
 use crate::origins::Stored;
 use crate::peer::Finder;
 use crate::peer::Peers;
@@ -27,6 +28,7 @@
 use crate::peer::Restores;
 use crate::peer::Returns;
 use crate::peer::journals;
+use crate::peer::journals::ORPHANS;
 use crate::peer::journals::PREFIX;
 
 /// Time to live of what a process stores, in seconds. After its end it is kept for longer than
@@ -66,9 +68,22 @@
     let finder = Finder::new(peers);
     let mut wanted = origins.wanted.subscribe();
     while wanted.changed().await.is_ok() {
-        let number = *wanted.borrow_and_update();
-        let asked = origins.take_asked();
-        let (stored, ()) = tokio::join!(read(store, origins), finder.find(&asked));
+        wanted.mark_unchanged();
+        let (number, asked) = origins.take_asked();
+        let (mut stored, mut answered) = tokio::join!(read(store, origins), finder.find(&asked));
+        if let Some(stored) = &mut stored {
+            let unresolved = origins.unresolved(&asked, stored);
+            if !unresolved.rows.is_empty() {
+                answered.extend(finder.exclude(&unresolved, stored, &answered).await);
+            }
+            answered.push(origins.journal.process());
+            answered.sort_unstable();
+            let has_answered = |process| answered.binary_search(process).is_ok();
+            for journal in &mut stored.journals {
+                journal.is_excluded = has_answered(&journal.process);
+            }
+            stored.asked = asked;
+        }
         origins.reading.send_replace(Reading { number, stored: stored.map(Arc::new) });
         sleep(READ_PAUSE).await;
     }
@@ -97,7 +112,9 @@
 /// Stores the versions that this gateway may use, and the streams that it begins while there are
 /// several of them.
 pub(crate) async fn keep_written(store: &dyn Store, peers: &Peers) {
-    let process = format!("{PREFIX}{}/{:x}", peers.own().vm, rand::rng().random::<u32>());
+    let process = format!("{}/{:x}", peers.own().vm, rand::rng().random::<u32>());
+    peers.routing().origins().journal.set_process(&process);
+    let process = format!("{PREFIX}{process}");
     let (mut restores, mut returns) = (Restores::new(peers), Returns::new(peers));
     let mut writer = Writer {
         store,
@@ -131,14 +148,24 @@
             knows_others = true;
         }
         let number = origins.recording.last();
-        let (versions, segments) = origins.to_store(routing.now());
+        let (versions, segments, orphans) = origins.to_store(routing.now());
         let replicas = origins.replicas_to_store(writer.has_lost(routing.now()), routing.now());
         if versions.rows.is_empty() {
             continue;
         }
-        let write = writer.write(&versions, &segments, &replicas, routing.now());
-        let outcome = watch(write, || origins.recording.set_failing(true)).await;
-        origins.recording.set_failing(outcome.is_err());
+        let content = Content {
+            versions: &versions,
+            segments: &segments,
+            replicas: &replicas,
+            orphans: &orphans,
+        };
+        let write = writer.write(content, routing.now());
+        let set_failing = |is_failing| {
+            origins.recording.set_failing(is_failing);
+            origins.set_away(Signal::Writes, is_failing, routing.now());
+        };
+        let outcome = watch(write, || set_failing(true)).await;
+        set_failing(outcome.is_err());
         origins.recording.stored.set(number, outcome.is_ok());
         if writer.lost > lost {
             lost = writer.lost;
@@ -150,7 +177,8 @@
         match outcome {
             Ok(history) => {
                 writer.set_restores(history, routing.now());
-                origins.set_stored(&writer.process, &versions, knows_others);
+                let valid_until = writer.valid_until();
+                origins.set_stored(&writer.process, &versions, knows_others, valid_until);
             }
             Err(error) => log::info!("the streams of this gateway were not stored: {error}"),
         }
@@ -176,8 +204,12 @@
     loop {
         origins.recording.has_recent.notified().await;
         let number = origins.recording.last();
-        let is_done = replicator.replicate().await;
+        let places = replicator.replicate().await;
+        let is_done = places.is_replicated;
         origins.recording.replicated.set(number, is_done);
+        origins.recording.persisted.set(number, places.is_stored);
+        origins.recording.named.set(number, places.is_named);
+        origins.recording.unstorable.set(number, is_done && places.is_outage);
         if !is_done {
             // The streams wait for another attempt.
             origins.recording.has_recent.notify_one();
@@ -193,6 +225,18 @@
     MIN_WRITE_INTERVAL.max(Duration::try_from_secs_f64(seconds).unwrap_or(IDLE_INTERVAL))
 }
 
+/// What a process has to store.
+#[derive(Clone, Copy)]
+struct Content<'a> {
+    versions: &'a Segment,
+    /// Its streams, with the places of the segments in a ring.
+    segments: &'a [(u64, Segment)],
+    /// Streams of other processes, in the same way.
+    replicas: &'a [(u64, Segment)],
+    /// Versions of streams without a journal.
+    orphans: &'a Segment,
+}
+
 /// Writes the segments of one process.
 struct Writer<'a> {
     store: &'a dyn Store,
@@ -241,13 +285,8 @@
 
     /// Writes what has changed, and removes what is over. Returns the number of restores before the
     /// history of the store in which that is written.
-    async fn write(
-        &mut self,
-        versions: &Segment,
-        segments: &[(u64, Segment)],
-        replicas: &[(u64, Segment)],
-        now: Duration,
-    ) -> Result<u64, Error> {
+    async fn write(&mut self, content: Content<'_>, now: Duration) -> Result<u64, Error> {
+        let Content { versions, segments, replicas, orphans } = content;
         let lease = self.lease(now).await?;
         let restores = self.restores.unwrap_or_default();
         let prefix = format!("{}.{restores}/", self.process);
@@ -258,6 +297,9 @@
         for (place, segment) in replicas {
             current.push((format!("{prefix}replica-{place}"), encode(segment)?));
         }
+        if !orphans.rows.is_empty() {
+            current.push((format!("{prefix}{ORPHANS}"), encode(orphans)?));
+        }
         let is_new = |row: &&(String, Vec<u8>)| !self.written.contains(row);
         let puts = current.iter().filter(is_new).map(|(key, value)| Put {
             key: key.clone(),
@@ -287,21 +329,29 @@
         }
     }
 
+    /// Returns the time until which the store keeps what was written, unless it goes away.
+    fn valid_until(&self) -> Instant {
+        let renewed = self.lease.map_or_else(Instant::now, |(_, renewed)| renewed);
+        renewed + Duration::from_secs(LEASE_TTL_S)
+    }
+
     /// Returns the lease, which is granted, or renewed if that is due or it may have ended.
     async fn lease(&mut self, now: Duration) -> Result<Lease, Error> {
         if let Some((lease, renewed)) = self.lease {
             if renewed.elapsed() < RENEWAL_INTERVAL && !self.is_doubtful {
                 return Ok(lease);
             }
+            let asked_at = Instant::now();
             if self.store.renew(lease).await? {
-                self.lease = Some((lease, Instant::now()));
+                self.lease = Some((lease, asked_at));
                 self.is_doubtful = false;
                 return Ok(lease);
             }
             self.forget(now);
         }
+        let asked_at = Instant::now();
         let lease = self.store.grant(LEASE_TTL_S).await?;
-        self.lease = Some((lease, Instant::now()));
+        self.lease = Some((lease, asked_at));
         self.is_doubtful = false;
         Ok(lease)
     }
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -9,6 +9,7 @@
 use metrics::histogram;
 use policy::evacuation;
 use policy::failure_rate;
+use policy::origin::Custody;
 use policy::origin::StreamId;
 use policy::quarantine::Block;
 use policy::slow_start::Turn;
@@ -149,11 +150,9 @@
     .increment(1);
 }
 
-/// Records where a new stream is recorded before its first event: in the store, and at another gateway.
-pub(crate) fn recorded(endpoint: &Endpoint, stream: StreamId, places: (bool, bool)) {
-    let (is_stored, is_replicated) = places;
-    log::debug!(stream, version = &*endpoint.version, is_stored, is_replicated;
-        "a new stream is recorded");
+/// Records where a new stream is recorded before its first event.
+pub(crate) fn recorded(endpoint: &Endpoint, stream: StreamId, custody: Custody) {
+    log::debug!(stream, version = &*endpoint.version, custody:?; "a new stream is recorded");
 }
 
 /// Records what the version of a stream that has no row was inferred from: how many processes have
--- a/crates/gateway/tests/sessions/unstored.rs
+++ b/crates/gateway/tests/sessions/unstored.rs
@@ -115,6 +115,76 @@
     gateway.kill();
 }
 
+/// Guards against ORDER: the store is down, and a gateway ends together with the only one that has its
+/// streams. A process that ended before the rollout knew one version, which tells nothing of them.
+#[test]
+fn a_stream_whose_gateway_and_replica_are_gone_goes_on_at_the_version_of_an_older_process() {
+    let (old, new) = endpoints();
+    let (store, members) = (Fake::default(), members());
+    Gateway::start_among(&store, &old, &[], &members, 1).kill();
+    let hub = Gateway::start_among(&store, &old, &new, &members, 0);
+    let third = Gateway::start_among(&store, &old, &new, &members, 1);
+    let gateway = Gateway::start_among(&store, &old, &new, &members, 2);
+    thread::sleep(Duration::from_millis(300));
+    store.is_read_only.store(true, Ordering::SeqCst);
+    old.iter().for_each(|endpoint| gateway.fixture.routing.remove_endpoint_now(&endpoint.id));
+    let begun = Client::connect(gateway.fixture.address).exchange(&once("r1"));
+    assert!(begun.ends_with("data: e1\n\n\n(closed)\n"), "{begun}");
+    gateway.kill();
+    hub.kill();
+    let before = seen(&old);
+    let response = Client::connect(third.fixture.address).exchange(&take_up("s1", "r1"));
+    assert!(response.contains("which software version"), "{response}");
+    assert_eq!(seen(&old), before);
+    third.kill();
+}
+
+/// Guards against ORDER: the store is down, and a gateway ends together with the only one that has its
+/// streams. They are of a version that no journal names yet.
+#[test]
+fn a_stream_begins_at_a_version_that_no_journal_names() {
+    let (old, new) = endpoints();
+    let (store, members) = (Fake::default(), members());
+    let hub = Gateway::start_among(&store, &old, &[], &members, 0);
+    let gateway = Gateway::start_among(&store, &old, &[], &members, 2);
+    thread::sleep(Duration::from_millis(300));
+    store.is_read_only.store(true, Ordering::SeqCst);
+    hear(&gateway, &old, &new);
+    let response = Client::connect(gateway.fixture.address).exchange(&once("r1"));
+    assert!(!response.contains("data: e1"), "{response}");
+    let response = Client::connect(gateway.fixture.address).exchange(&once("r2"));
+    assert!(response.contains("can't be recorded"), "{response}");
+    // At a version that they name, streams begin as before.
+    old.iter().for_each(|endpoint| gateway.fixture.announce("model", endpoint, "v1"));
+    let response = Client::connect(gateway.fixture.address).exchange(&once("r3"));
+    assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
+    assert_eq!((seen(&old), seen(&new)), (1, 1));
+    gateway.kill();
+    hub.kill();
+}
+
+/// Guards against refusals: a process that starts while the store is down has no journal, but the one with its
+/// replicas has, so that nobody takes its streams for those of another version.
+#[test]
+fn streams_of_a_gateway_that_starts_in_an_outage_are_refused() {
+    let (old, new) = endpoints();
+    let (store, members) = (Fake::default(), members());
+    Gateway::start_among(&store, &old, &[], &members, 1).kill();
+    let hub = Gateway::start_among(&store, &old, &new, &members, 0);
+    let third = Gateway::start_among(&store, &old, &new, &members, 1);
+    thread::sleep(Duration::from_millis(300));
+    store.is_read_only.store(true, Ordering::SeqCst);
+    let gateway = Gateway::start_among(&store, &old, &new, &members, 2);
+    old.iter().for_each(|endpoint| gateway.fixture.routing.remove_endpoint_now(&endpoint.id));
+    let begun = Client::connect(gateway.fixture.address).exchange(&once("r1"));
+    assert!(begun.ends_with("data: e1\n\n\n(closed)\n"), "{begun}");
+    gateway.kill();
+    hub.kill();
+    let response = Client::connect(third.fixture.address).exchange(&take_up("s1", "r1"));
+    assert!(response.contains("which software version"), "{response}");
+    third.kill();
+}
+
 /// Guards against ORDER: a store that answers no write is no reason to send the first event, and other
 /// gateways store the stream as if the write had failed.
 #[test]
--- a/crates/policy/src/origin.rs
+++ b/crates/policy/src/origin.rs
@@ -5,6 +5,7 @@
 //! service has several, which of them began each stream. A version that nobody stored is unknown,
 //! never assumed to be the one that is left. See `docs/decisions/versions.md`.
 
+mod custody;
 mod journal;
 mod ledger;
 mod loss;
@@ -13,7 +14,9 @@
 
 use std::time::Duration;
 
+pub use custody::Custody;
 pub use journal::Journal;
+pub use journal::Process;
 pub use ledger::Ledger;
 pub use loss::Loss;
 pub use outlook::Outlook;
@@ -59,9 +62,10 @@
 /// the asking one knows itself.
 ///
 /// If all of them know the same version only, it began the stream, whether it was stored or not. If
-/// they know several, those that know more than one have stored each stream, so one that isn't stored
-/// began at a gateway that knew a single version, or at one whose journal the store has lost. A stream
-/// without an id is known only in the first case.
+/// they know several, that a row is missing tells nothing, as rows and replicas may be lost together.
+/// The stream is then of one of the processes that may have begun it, which are all but those that run
+/// and say that they did not ([`Journal::is_excluded`]); only if the journals of the others name one
+/// version together, it is known. A stream without an id is known only in the first case.
 pub fn resolve<'a>(
     journals: &'a [Journal],
     outlook: &'a Outlook,
@@ -77,34 +81,33 @@
         return Origin::Pending;
     }
     let stored = journals.iter().flat_map(|journal| journal.versions(service));
-    let mut versions: Vec<&str> = stored.chain(outlook.versions(service)).collect();
-    versions.sort_unstable();
-    versions.dedup();
-    if let [version] = versions[..] {
+    let orphans = journals.iter().map(|journal| &journal.orphans).chain([&outlook.orphans]);
+    let orphans: Vec<&str> = orphans.flat_map(|segment| segment.versions(service)).collect();
+    let known = stored.chain(outlook.versions(service)).chain(orphans.iter().copied());
+    if let Some(version) = single(known) {
         return Origin::Version(version);
     }
     if stream.is_none() {
         return Origin::Unknown;
     }
-    let complete = journals.iter().filter(|journal| journal.is_complete);
-    let mut single: Vec<&str> =
-        complete.filter_map(|journal| journal.single_version(service)).collect();
     let has_seen_all = outlook.is_first || outlook.age >= LOST_JOURNALS_TIME;
     match &outlook.loss {
         None if !is_complete || !has_seen_all => return Origin::Unknown,
-        None => {}
         Some(loss) if loss.age < SETTLE_TIME => return Origin::Pending,
-        Some(loss) => {
-            // A lost journal had some of these versions, and one that lacks rows had its own.
-            single.extend(loss.versions(service));
-            let incomplete = journals.iter().filter(|journal| !journal.is_complete);
-            single.extend(incomplete.flat_map(|journal| journal.versions(service)));
-        }
+        _ => {}
     }
-    single.sort_unstable();
-    single.dedup();
-    match single[..] {
-        [version] => Origin::Version(version),
-        _ => Origin::Unknown,
+    let suspects = journals.iter().filter(|journal| !journal.is_excluded);
+    let suspected = suspects.flat_map(|journal| journal.versions(service));
+    // A lost journal had some of these versions.
+    let lost = outlook.loss.iter().flat_map(|loss| loss.versions(service));
+    match single(suspected.chain(orphans).chain(lost)) {
+        Some(version) => Origin::Version(version),
+        None => Origin::Unknown,
     }
 }
+
+/// Returns the version that all of these are; `None` if they are several or there is none.
+fn single<'a>(mut versions: impl Iterator<Item = &'a str>) -> Option<&'a str> {
+    let first = versions.next()?;
+    versions.all(|version| version == first).then_some(first)
+}
--- a/crates/policy/src/origin/ledger.rs
+++ b/crates/policy/src/origin/ledger.rs
@@ -36,6 +36,8 @@
     segments: Vec<(u64, Segment)>,
     /// Streams that are being replicated, with the time at which that began, in that order.
     recent: Vec<(Duration, Stream)>,
+    /// Number of the last segment that could not take all streams.
+    overfull: Option<u64>,
 }
 
 /// A version of a service that was announced lately.
@@ -153,9 +155,16 @@
         // Later ones stay unknown to other gateways.
         if streams < Segment::MAX_STREAMS {
             segment.add(service, version, stream);
+        } else {
+            self.overfull = Some(number);
         }
     }
 
+    /// Whether it has all streams that clients still come back for.
+    pub fn has_all(&self, now: Duration) -> bool {
+        self.overfull.is_none_or(|last| last < number(now).saturating_sub(SEGMENTS - 1))
+    }
+
     /// Returns the version that began a stream here; `None` if it did not begin here lately.
     pub fn find(&self, service: &str, stream: StreamId) -> Option<&str> {
         let rows = self.segments.iter().rev().flat_map(|(_, segment)| &segment.rows);
@@ -179,7 +188,7 @@
     }
 
     /// Whether a service has had several versions lately.
-    fn is_mixed(&self, service: &str, now: Duration) -> bool {
+    pub fn is_mixed(&self, service: &str, now: Duration) -> bool {
         let rows = self.versions.iter().filter(|row| row.service == service && !row.is_over(now));
         rows.count() > 1
     }
--- a/crates/policy/src/origin/outlook.rs
+++ b/crates/policy/src/origin/outlook.rs
@@ -17,6 +17,9 @@
     pub is_first: bool,
     /// What it knows of the last time at which the store lost journals; `None` if that is long ago.
     pub loss: Option<Loss>,
+    /// Versions at which processes that have ended may have begun streams without a journal: those that
+    /// were known during the last outage of the store, in which no process could write one.
+    pub orphans: Segment,
 }
 
 impl Outlook {
--- a/crates/policy/src/origin/segment.rs
+++ b/crates/policy/src/origin/segment.rs
@@ -42,6 +42,12 @@
         rows.map(|row| row.version.as_str())
     }
 
+    /// Whether a stream of a service is in one of the rows.
+    pub fn has(&self, service: &str, stream: StreamId) -> bool {
+        let mut rows = self.rows.iter().filter(|row| row.service == service);
+        rows.any(|row| row.streams.contains(&stream))
+    }
+
     /// Adds a stream that began at a version of a service.
     pub fn add(&mut self, service: &str, version: &str, stream: StreamId) {
         self.row(service, version).streams.push(stream);
--- a/crates/policy/tests/origin.rs
+++ b/crates/policy/tests/origin.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use policy::origin::Custody;
 use policy::origin::Journal;
 use policy::origin::Ledger;
 use policy::origin::Loss;
@@ -16,11 +17,13 @@
     Duration::from_secs(seconds)
 }
 
-/// Returns what another gateway reads of a ledger.
+/// Returns what another gateway reads of a ledger. It is of a process that has ended if it has a single
+/// version, and of one that runs and has answered otherwise.
 fn stored(ledger: &Ledger, now: Duration) -> Vec<Journal> {
     let segments = ledger.mixed_segments(now).into_iter().map(|(_, segment)| segment);
-    let segments = [ledger.versions(now)].into_iter().chain(segments).collect();
-    vec![Journal { is_complete: true, segments }]
+    let segments: Vec<Segment> = [ledger.versions(now)].into_iter().chain(segments).collect();
+    let is_excluded = segments[0].rows.len() > 1;
+    vec![Journal { is_excluded, is_complete: true, segments, ..Journal::default() }]
 }
 
 /// Returns the version that a gateway finds which knows nothing but what is stored.
@@ -42,7 +45,7 @@
 fn outlook(versions: &[&str], age: Duration, is_first: bool) -> Outlook {
     let mut ledger = Ledger::default();
     versions.iter().for_each(|version| ledger.announce("model", version, at(1)));
-    Outlook { versions: ledger.versions(at(1)), age, is_first, loss: None }
+    Outlook { versions: ledger.versions(at(1)), age, is_first, ..Outlook::default() }
 }
 
 #[test]
@@ -74,6 +77,78 @@
     assert_eq!(resolve(&stored(&mixed, at(2)), "model", 7), None);
 }
 
+/// Guards against ORDER: a process that knew several versions has ended, and the store never got its last
+/// rows. The journal of an older process names one version alone.
+#[test]
+fn a_stream_whose_row_and_replicas_are_lost_is_taken_for_one_of_an_older_process() {
+    let journal = |versions: &[&str]| {
+        let mut ledger = Ledger::default();
+        versions.iter().for_each(|version| ledger.announce("model", version, at(1)));
+        stored(&ledger, at(1))
+    };
+    let mut all = [journal(&["v1"]), journal(&["v1", "v2"]), journal(&["v1", "v2"])].concat();
+    assert_eq!(resolve(&all, "model", 7), Some("v1"));
+    all[2].is_excluded = false;
+    assert_eq!(resolve(&all, "model", 7), None);
+    // The older process runs, and the one that ended knew a single version.
+    all[2] = journal(&["v2"]).remove(0);
+    all[0].is_excluded = true;
+    assert_eq!(resolve(&all, "model", 7), Some("v2"));
+    // Nobody is left that may have begun it.
+    all[2].is_excluded = true;
+    assert_eq!(resolve(&all, "model", 7), None);
+}
+
+/// Guards against ORDER: a process began and ended while no journal could be written, so that nothing in
+/// the store tells of it.
+#[test]
+fn a_stream_of_a_process_without_a_journal_is_taken_for_one_of_an_older_process() {
+    let mut ledger = Ledger::default();
+    ledger.announce("model", "v1", at(1));
+    let mut all = stored(&ledger, at(1));
+    ledger.announce("model", "v2", at(1));
+    all.extend(stored(&ledger, at(1)));
+    let find = |all: &[Journal], outlook: &Outlook| {
+        let outlook = Outlook { is_first: true, ..outlook.clone() };
+        policy::origin::resolve(all, &outlook, "model", Some(7)) == Origin::Version("v1")
+    };
+    assert!(find(&all, &Outlook::default()));
+    let orphans = ledger.versions(at(1));
+    assert!(!find(&all, &Outlook { orphans: orphans.clone(), ..Outlook::default() }));
+    // Another gateway knows of the outage.
+    all[1].orphans = orphans;
+    assert!(!find(&all, &Outlook::default()));
+}
+
+/// Guards against ORDER: a stream begins although what is left of it, once its process and the replicas are
+/// gone, names another version.
+#[test]
+fn a_stream_begins_whose_version_only_memory_holds() {
+    let replicated = Custody { is_replicated: true, ..Custody::default() };
+    let is_outage = true;
+    assert!(!Custody::default().is_safe());
+    assert!(!replicated.is_safe());
+    assert!(Custody { is_stored: true, ..Custody::default() }.is_safe());
+    assert!(Custody { is_named: true, ..replicated }.is_safe());
+    assert!(!Custody { is_named: true, ..Custody::default() }.is_safe());
+    assert!(Custody { is_outage, ..replicated }.is_safe());
+    assert!(!Custody { is_outage, is_mixed: true, ..replicated }.is_safe());
+}
+
+/// Guards against ORDER: a process that could not remember all its streams says that it began none of those
+/// that are looked up.
+#[test]
+fn a_process_that_began_too_many_streams_denies_one() {
+    let mut ledger = Ledger::default();
+    let most = u32::try_from(Segment::MAX_STREAMS).expect("a number of streams");
+    (0..most).for_each(|stream| ledger.record("model", "v1", stream, at(1)));
+    assert!(ledger.has_all(at(1)));
+    ledger.record("model", "v1", most, at(1));
+    assert_eq!(ledger.find("model", most), None);
+    assert!(!ledger.has_all(at(28)));
+    assert!(ledger.has_all(at(32)));
+}
+
 #[test]
 fn a_gateway_whose_journal_a_restore_may_have_lost_counts_as_none() {
     let mut mixed = Ledger::default();
@@ -155,7 +230,7 @@
     let mut stored = stored(&ledger, at(2));
     stored[0].is_complete = false;
     let segments = stored[0].segments.clone();
-    let only_old = Journal { is_complete: false, segments: vec![segments[1].clone()] };
+    let only_old = Journal { segments: vec![segments[1].clone()], ..Journal::default() };
     let (young, old) = (Duration::from_millis(2_100), Duration::from_millis(2_300));
     let find =
         |journals: &[Journal], outlook: &Outlook, stream: StreamId| match policy::origin::resolve(
--- a/crates/rpc/src/view.rs
+++ b/crates/rpc/src/view.rs
@@ -16,6 +16,7 @@
 use policy::exchange::Report;
 use policy::exchange::Sheet;
 use policy::observation;
+use policy::origin::Process;
 use policy::origin::Segment;
 use policy::quarantine::Digest;
 use policy::rate_limit;
@@ -78,6 +79,26 @@
     Lost,
 }
 
+/// What a process says of streams that a peer looks up.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Attestation {
+    /// The called process: it began none of the streams that are not among `streams`. It has no name if it
+    /// can't tell, or is of an earlier build.
+    pub process: Process,
+    /// The streams whose versions it knows.
+    pub streams: Segment,
+}
+
+/// What a process that takes replicas of streams answers for them, while the caller can't store them.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pledge {
+    /// Whether the store has the streams.
+    pub is_stored: bool,
+    /// Whether the store has the journal of the called process, and it names their versions. So it is known
+    /// that they may be of these also once that process has ended.
+    pub is_named: bool,
+}
+
 /// Requests in flight at endpoints, of several gateways together.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Loads {
@@ -188,12 +209,19 @@
     /// Records streams that a peer replicates and can't store, so that this process stores them.
     fn adopt_streams(&self, streams: &Segment);
 
+    /// Records streams as [`Source::adopt_streams`] does. Waits until the store has them unless the journal of
+    /// this process answers for them; they are not stored if this process can't write to the store either.
+    fn persist_streams(&self, streams: &Segment) -> BoxFuture<'_, Pledge>;
+
     /// Returns the streams that this process replicates.
     fn streams(&self) -> Segment;
 
     /// Returns those of the streams whose versions this process knows; the versions of `asked` don't
     /// count.
     fn look_up_streams(&self, asked: &Segment) -> Segment;
+
+    /// Returns the same with the name of this process, if it began none of the others.
+    fn attest_streams(&self, asked: &Segment) -> Attestation;
 }
 
 /// The JSON-RPC interface; messages are encoded as those of control calls.
@@ -224,10 +252,19 @@
     #[method(name = "adopt")]
     async fn adopt(&self, streams: String) -> RpcResult<()>;
 
+    /// Takes an encoded [`Segment`] of streams that the caller replicates and can't store, and returns
+    /// an encoded [`Pledge`].
+    #[method(name = "persist")]
+    async fn persist(&self, streams: String) -> RpcResult<String>;
+
     /// Returns an encoded [`Segment`] with those streams of an encoded one whose versions the called
-    /// process knows.
+    /// process knows. Builds before `attest` call it.
     #[method(name = "look_up")]
     async fn look_up(&self, asked: String) -> RpcResult<String>;
+
+    /// Returns an encoded [`Attestation`] for the streams of an encoded [`Segment`].
+    #[method(name = "attest")]
+    async fn attest(&self, asked: String) -> RpcResult<String>;
 }
 
 /// Implements the interface with a source.
@@ -282,11 +319,23 @@
         Ok(())
     }
 
+    async fn persist(&self, streams: String) -> RpcResult<String> {
+        let streams: Segment = read(&streams)?;
+        check_streams(&streams)?;
+        Ok(packet::encode(&self.source.persist_streams(&streams).await))
+    }
+
     async fn look_up(&self, asked: String) -> RpcResult<String> {
         let asked: Segment = read(&asked)?;
         check_streams(&asked)?;
         Ok(packet::encode(&self.source.look_up_streams(&asked)))
     }
+
+    async fn attest(&self, asked: String) -> RpcResult<String> {
+        let asked: Segment = read(&asked)?;
+        check_streams(&asked)?;
+        Ok(packet::encode(&self.source.attest_streams(&asked)))
+    }
 }
 
 /// Checks the number of streams that a peer replicates.
--- a/crates/rpc/src/view/client.rs
+++ b/crates/rpc/src/view/client.rs
@@ -17,10 +17,12 @@
 use crate::packet;
 use crate::pool;
 use crate::view::Answer;
+use crate::view::Attestation;
 use crate::view::Cursor;
 use crate::view::Delta;
 use crate::view::Loads;
 use crate::view::Message;
+use crate::view::Pledge;
 use crate::view::ViewClient;
 
 /// Asks a peer for snapshots that are newer than what this process knows.
@@ -142,23 +144,45 @@
         called.map_err(|error| pool::into_error(self.peer, error))
     }
 
-    /// Returns those of the streams whose versions the peer knows.
+    /// Has the peer store streams that this process can't store, and returns what it answers for them.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Client::attest`], of which builds without it refuse the call.
+    pub async fn persist(
+        &self,
+        streams: &Segment,
+        answer_timeout: Duration,
+    ) -> Result<Pledge, Error> {
+        let call = self.client.persist(packet::encode(streams));
+        self.decode(time::timeout(answer_timeout, call).await)
+    }
+
+    /// Returns what the peer says of streams. Earlier builds tell what they know, and not who they are.
     ///
     /// # Errors
     ///
     /// [`Error::Unreachable`] if no answer came within `answer_timeout`, and [`Error::Refused`] if the
-    /// peer refused the call, as builds without it do, or its answer is malformed.
-    pub async fn look_up(
+    /// peer refused the call, or its answer is malformed.
+    pub async fn attest(
         &self,
         asked: &Segment,
         answer_timeout: Duration,
-    ) -> Result<Segment, Error> {
-        let call = self.client.look_up(packet::encode(asked));
-        let found: Segment = self.decode(time::timeout(answer_timeout, call).await)?;
-        if !found.is_valid() {
+    ) -> Result<Attestation, Error> {
+        let asked = packet::encode(asked);
+        let call = self.client.attest(asked.clone());
+        let attestation = match self.decode(time::timeout(answer_timeout, call).await) {
+            Err(Error::Refused(..)) => {
+                let call = self.client.look_up(asked);
+                let streams = self.decode(time::timeout(answer_timeout, call).await)?;
+                Attestation { streams, ..Attestation::default() }
+            }
+            answer => answer?,
+        };
+        if !attestation.streams.is_valid() {
             return Err(Error::Refused(self.peer, "the streams are too many".to_owned()));
         }
-        Ok(found)
+        Ok(attestation)
     }
 
     /// Decodes a message of the exchange of loads.
--- a/crates/rpc/tests/view.rs
+++ b/crates/rpc/tests/view.rs
@@ -27,11 +27,13 @@
 use policy::speed;
 use rpc::Error;
 use rpc::view::Answer;
+use rpc::view::Attestation;
 use rpc::view::Client;
 use rpc::view::Cursor;
 use rpc::view::Delta;
 use rpc::view::Loads;
 use rpc::view::Message;
+use rpc::view::Pledge;
 use rpc::view::Source;
 use rpc::view::ViewClient;
 use tokio::time::sleep;
@@ -108,9 +110,18 @@
         self.streams.lock().clone()
     }
 
+    fn persist_streams(&self, streams: &Segment) -> BoxFuture<'_, Pledge> {
+        self.adopt_streams(streams);
+        async { Pledge { is_stored: true, is_named: false } }.boxed()
+    }
+
     fn look_up_streams(&self, _: &Segment) -> Segment {
         self.adopted.lock().clone()
     }
+
+    fn attest_streams(&self, asked: &Segment) -> Attestation {
+        Attestation { process: "g1/1".to_owned(), streams: self.look_up_streams(asked) }
+    }
 }
 
 /// Returns a sheet whose rows are not in order, as only a broken peer sends it.
@@ -305,8 +316,12 @@
     assert!(client.replicate(&streams(8_193)).await.is_err());
     assert_eq!(client.adopt(&streams(4)).await, Ok(()));
     assert!(client.adopt(&streams(8_193)).await.is_err());
-    assert_eq!(client.look_up(&streams(9), ANSWER_TIMEOUT).await, Ok(streams(4)));
-    assert!(client.look_up(&streams(8_193), ANSWER_TIMEOUT).await.is_err());
+    let attestation = Attestation { process: "g1/1".to_owned(), streams: streams(4) };
+    assert_eq!(client.attest(&streams(9), ANSWER_TIMEOUT).await, Ok(attestation));
+    assert!(client.attest(&streams(8_193), ANSWER_TIMEOUT).await.is_err());
+    let pledge = Pledge { is_stored: true, is_named: false };
+    assert_eq!(client.persist(&streams(4), ANSWER_TIMEOUT).await, Ok(pledge));
+    assert!(client.persist(&streams(8_193), ANSWER_TIMEOUT).await.is_err());
     let too_many = Message { streams: streams(8_193), ..message("valid", 1) };
     assert!(is_refused(&client.report(&too_many, MAX_WAIT).await));
     assert!(is_refused(&client.swap(&too_many, MAX_WAIT).await));
