Keep the versions in use in a key that outlives all journals

Callers would have seen: all gateways end while the store is away, all leases with them, and the last endpoint of version 1 leaves; streams that version 1 began then go on at version 2 (ORDER). docs/decisions/versions.md listed it as not promised.

Cause: a process learns from journals which versions are in use, and these have leases.

Change: each process writes the versions in use and its name to one key without a lease when it starts or hears of a version.

--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -1,5 +1,6 @@
 //! Which versions began the streams that clients take up, as this gateway knows it.
 
+mod in_use;
 mod outage;
 mod own_journal;
 mod progress;
@@ -28,6 +29,7 @@
 use tokio::time::sleep;
 use tokio::time::timeout_at;
 
+pub(crate) use in_use::InUse;
 pub(crate) use outage::Signal;
 pub(crate) use own_journal::OwnJournal;
 pub(crate) use reading::Reading;
@@ -376,9 +378,11 @@
         let mut ledger = self.ledger.lock();
         let segments = stored.journals.iter().flat_map(|journal| &journal.segments);
         let orphans = stored.journals.iter().map(|journal| &journal.orphans);
-        for row in segments.chain(orphans).flat_map(|segment| &segment.rows) {
+        let segments = segments.chain(orphans).chain([&stored.in_use.versions]);
+        for row in segments.flat_map(|segment| &segment.rows) {
             ledger.announce(&row.service, &row.version, now);
         }
+        self.outage.lock().learn(&ledger.versions(now), stored.has_lost_journals(), now);
     }
 
     /// Whether this process knows all streams that it began and that clients still come back for.
--- a/crates/gateway/src/origins/outage.rs
+++ b/crates/gateway/src/origins/outage.rs
@@ -48,6 +48,14 @@
         }
     }
 
+    /// Records versions that were in use before this process started, and whether journals were lost then.
+    pub(crate) fn learn(&mut self, versions: &Segment, has_lost_journals: bool, now: Duration) {
+        if has_lost_journals || self.last.is_some() {
+            let end = self.last.as_ref().map_or(now, |(end, _)| *end);
+            self.last = Some((end, versions.clone()));
+        }
+    }
+
     /// Returns the versions at which a process that ended without a journal may have begun streams that
     /// clients still come back for.
     pub(crate) fn orphans(&self, now: Duration, versions: impl FnOnce() -> Segment) -> Segment {
--- a/crates/gateway/src/peer/journals.rs
+++ b/crates/gateway/src/peer/journals.rs
@@ -2,6 +2,7 @@
 
 use policy::origin::Journal;
 use policy::origin::Segment;
+use serde::de::DeserializeOwned;
 use services::store::Entry;
 use services::version;
 
@@ -15,6 +16,9 @@
 /// that the process itself may have used.
 pub(crate) const ORPHANS: &str = "orphans";
 
+/// Key of the versions in use, which is none of a journal.
+pub(crate) const IN_USE: &str = "lycheeknot-streams/in-use";
+
 /// Decodes what all gateways have stored. Keys of another form are left out.
 pub(crate) fn decode(entries: &[Entry]) -> Stored {
     let restores = entries.iter().map(|entry| version::restores(entry.version)).max();
@@ -30,14 +34,16 @@
         });
         let process = &mut processes[index];
         process.is_current |= place.restores == Some(restores);
-        match decode_segment(entry) {
+        match decode_value::<Segment>(entry) {
             Some(segment) if place.name == ORPHANS => process.orphans = segment,
             Some(segment) => process.segments.push(segment),
             None => process.is_malformed = true,
         }
     }
     let journals = processes.into_iter().map(Process::into_journal).collect();
-    Stored { restores, journals, asked: Segment::default() }
+    let in_use = entries.iter().find(|entry| entry.key == IN_USE);
+    let in_use = in_use.and_then(decode_value).unwrap_or_default();
+    Stored { restores, journals, asked: Segment::default(), in_use }
 }
 
 /// What the keys of one process hold.
@@ -87,11 +93,11 @@
     }
 }
 
-/// Decodes a stored segment; `None` if it is malformed.
-fn decode_segment(entry: &Entry) -> Option<Segment> {
+/// Decodes a value; `None` if it is malformed.
+fn decode_value<T: DeserializeOwned>(entry: &Entry) -> Option<T> {
     let decoded = postcard::from_bytes(&entry.value);
     let log = |error: &postcard::Error| {
-        log::warn!(key = entry.key.as_str(); "a segment of streams is malformed: {error}");
+        log::warn!(key = entry.key.as_str(); "a value about streams is malformed: {error}");
     };
     decoded.inspect_err(log).ok()
 }
--- a/crates/gateway/src/peer/streams.rs
+++ b/crates/gateway/src/peer/streams.rs
@@ -7,6 +7,7 @@
 
 use policy::origin::Segment;
 use rand::RngExt;
+use serde::Serialize;
 use services::Store;
 use services::store::Commit;
 use services::store::Error;
@@ -18,6 +19,7 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::origins::InUse;
 use crate::origins::Origins;
 use crate::origins::Reading;
 use crate::origins::Signal;
@@ -28,6 +30,7 @@
 use crate::peer::Restores;
 use crate::peer::Returns;
 use crate::peer::journals;
+use crate::peer::journals::IN_USE;
 use crate::peer::journals::ORPHANS;
 use crate::peer::journals::PREFIX;
 
@@ -124,6 +127,7 @@
         lease: None,
         is_doubtful: false,
         written: Vec::new(),
+        in_use: InUse::default(),
     };
     let origins = peers.routing().origins();
     let (mut knows_others, mut lost, mut away_since) = (false, None, None);
@@ -153,11 +157,14 @@
         if versions.rows.is_empty() {
             continue;
         }
+        let in_use = knows_others
+            .then(|| InUse { writer: origins.journal.process(), versions: versions.clone() });
         let content = Content {
             versions: &versions,
             segments: &segments,
             replicas: &replicas,
             orphans: &orphans,
+            in_use: in_use.as_ref(),
         };
         let write = writer.write(content, routing.now());
         let set_failing = |is_failing| {
@@ -235,6 +242,8 @@
     replicas: &'a [(u64, Segment)],
     /// Versions of streams without a journal.
     orphans: &'a Segment,
+    /// The versions in use; `None` while this process may not know all.
+    in_use: Option<&'a InUse>,
 }
 
 /// Writes the segments of one process.
@@ -253,6 +262,8 @@
     is_doubtful: bool,
     /// Keys and values as the store has them.
     written: Vec<(String, Vec<u8>)>,
+    /// The versions in use, as they were last written.
+    in_use: InUse,
 }
 
 impl Writer<'_> {
@@ -280,13 +291,14 @@
     fn forget(&mut self, now: Duration) {
         self.lease = None;
         self.written.clear();
+        self.in_use = InUse::default();
         self.lost = Some(now);
     }
 
     /// Writes what has changed, and removes what is over. Returns the number of restores before the
     /// history of the store in which that is written.
     async fn write(&mut self, content: Content<'_>, now: Duration) -> Result<u64, Error> {
-        let Content { versions, segments, replicas, orphans } = content;
+        let Content { versions, segments, replicas, orphans, in_use } = content;
         let lease = self.lease(now).await?;
         let restores = self.restores.unwrap_or_default();
         let prefix = format!("{}.{restores}/", self.process);
@@ -306,16 +318,23 @@
             value: value.clone(),
             lease: Some(lease),
         });
+        let mut puts: Vec<Put> = puts.collect();
+        let in_use = in_use.filter(|in_use| **in_use != self.in_use);
+        if let Some(in_use) = in_use {
+            puts.push(Put { key: IN_USE.to_owned(), value: encode(in_use)?, lease: None });
+        }
         let is_over = |key: &&String| current.iter().all(|(other, _)| other != *key);
         let removes = self.written.iter().map(|(key, _)| key).filter(is_over).cloned();
-        let commit =
-            Commit { puts: puts.collect(), removes: removes.collect(), ..Commit::default() };
+        let commit = Commit { puts, removes: removes.collect(), ..Commit::default() };
         if commit.puts.is_empty() && commit.removes.is_empty() {
             return Ok(restores);
         }
         match self.store.commit(&commit).await {
             Ok(Outcome::Written(version)) => {
                 self.written = current;
+                if let Some(in_use) = in_use {
+                    self.in_use.clone_from(in_use);
+                }
                 Ok(version::restores(version))
             }
             Ok(Outcome::Conflict) => {
@@ -357,7 +376,7 @@
     }
 }
 
-fn encode(segment: &Segment) -> Result<Vec<u8>, Error> {
-    postcard::to_stdvec(segment)
+fn encode(value: &impl Serialize) -> Result<Vec<u8>, Error> {
+    postcard::to_stdvec(value)
         .map_err(|error| Error::Protocol(format!("a segment of streams can't be encoded: {error}")))
 }
--- a/crates/gateway/tests/sessions/unstored.rs
+++ b/crates/gateway/tests/sessions/unstored.rs
@@ -185,6 +185,27 @@
     third.kill();
 }
 
+/// Guards against ORDER: all processes end, all leases with them, and meanwhile the old version goes.
+#[test]
+fn a_stream_goes_on_at_the_version_that_is_left_after_all_journals_were_lost() {
+    let (old, new) = endpoints();
+    let store = Fake::default();
+    let gateway = Gateway::start(&store, &old, &new);
+    let begun = Client::connect(gateway.fixture.address).exchange(&once("r1"));
+    assert!(begun.starts_with("HTTP/1.1 200 "), "{begun}");
+    gateway.kill();
+    store.entries.lock().retain(|entry| entry.key == "lycheeknot-streams/in-use");
+    for id in ["s1", "s2"] {
+        let other = Gateway::start(&store, &[], &new);
+        thread::sleep(Duration::from_millis(300));
+        let before = seen(&new);
+        let response = Client::connect(other.fixture.address).exchange(&take_up(id, "r1"));
+        assert!(response.contains("which software version"), "{response}");
+        assert_eq!(seen(&new), before);
+        other.kill();
+    }
+}
+
 /// Guards against ORDER: a store that answers no write is no reason to send the first event, and other
 /// gateways store the stream as if the write had failed.
 #[test]
