Take the locks of origins one at a time

A process that learned versions when it started held the ledger while it locked the outage; a take-up, on a thread of a worker, does it the other way round, and both could have stopped for good. docs/ARCHITECTURE.md has that the locks of origins are taken alone, and two more places did not keep to it. No test: it takes two threads at two lines.

--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -137,15 +137,15 @@
     /// Waits until others know the last stream of an endpoint. Returns whether they do, or can tell its
     /// version otherwise.
     async fn secure(&self, endpoint: &Endpoint, stream: StreamId, now: Duration) -> bool {
-        let custody = {
+        let is_mixed = {
             let ledger = self.ledger.lock();
             if !ledger.is_recorded(&endpoint.service, now) {
                 return true;
             }
-            let is_mixed = ledger.is_mixed(&endpoint.service, now);
-            let is_named = self.journal.names(&endpoint.service, &endpoint.version);
-            Custody { is_named, is_mixed, ..Custody::default() }
+            ledger.is_mixed(&endpoint.service, now)
         };
+        let is_named = self.journal.names(&endpoint.service, &endpoint.version);
+        let custody = Custody { is_named, is_mixed, ..Custody::default() };
         let number = self.recording.add();
         self.changed.notify_one();
         let is_known = self.recording.wait(number, custody, now).await;
@@ -291,7 +291,8 @@
     /// Returns what this gateway itself knows of versions, to go with what was stored when the store
     /// had come back from a copy this often.
     fn outlook(&self, restores: u64, history: &History, now: Duration) -> Outlook {
-        let (lost, orphans) = (*self.loss.lock(), self.orphans(now));
+        let lost = *self.loss.lock();
+        let orphans = self.orphans(now);
         let ledger = self.ledger.lock();
         let versions = ledger.versions(now);
         let loss = lost.map(|lost| Loss {
@@ -375,14 +376,17 @@
 
     /// Records versions that other gateways may use or may have used.
     pub(crate) fn learn_versions(&self, stored: &Stored, now: Duration) {
-        let mut ledger = self.ledger.lock();
         let segments = stored.journals.iter().flat_map(|journal| &journal.segments);
         let orphans = stored.journals.iter().map(|journal| &journal.orphans);
         let segments = segments.chain(orphans).chain([&stored.in_use.versions]);
-        for row in segments.flat_map(|segment| &segment.rows) {
-            ledger.announce(&row.service, &row.version, now);
-        }
-        self.outage.lock().learn(&ledger.versions(now), stored.has_lost_journals(), now);
+        let versions = {
+            let mut ledger = self.ledger.lock();
+            for row in segments.flat_map(|segment| &segment.rows) {
+                ledger.announce(&row.service, &row.version, now);
+            }
+            ledger.versions(now)
+        };
+        self.outage.lock().learn(versions, stored.has_lost_journals(), now);
     }
 
     /// Whether this process knows all streams that it began and that clients still come back for.
@@ -435,15 +439,16 @@
 
     /// Records whether the store is away, as far as one of this gateway's tasks can tell.
     pub(crate) fn set_away(&self, signal: Signal, is_away: bool, now: Duration) {
-        let versions = || self.ledger.lock().versions(now);
-        self.outage.lock().set(signal, is_away, now, versions);
+        let was_away = self.outage.lock().is_away();
+        let versions = if was_away { self.ledger.lock().versions(now) } else { Segment::default() };
+        self.outage.lock().set(signal, is_away, versions, now);
     }
 
     /// Returns the versions at which processes may have begun streams that ended before they had a
     /// journal, as the store was away.
     fn orphans(&self, now: Duration) -> Segment {
-        let versions = || self.ledger.lock().versions(now);
-        self.outage.lock().orphans(now, versions)
+        let is_away = self.outage.lock().is_away();
+        if is_away { self.ledger.lock().versions(now) } else { self.outage.lock().last(now) }
     }
 
     /// Returns the streams that began since a time and still have to be replicated to other gateways.
--- a/crates/gateway/src/origins/outage.rs
+++ b/crates/gateway/src/origins/outage.rs
@@ -27,14 +27,9 @@
 }
 
 impl Outage {
-    /// Records whether one of the signals tells that the store is away.
-    pub(crate) fn set(
-        &mut self,
-        signal: Signal,
-        is_away: bool,
-        now: Duration,
-        versions: impl FnOnce() -> Segment,
-    ) {
+    /// Records whether one of the signals tells that the store is away. If that ends an outage, `versions` are
+    /// those that are known now.
+    pub(crate) fn set(&mut self, signal: Signal, is_away: bool, versions: Segment, now: Duration) {
         let was_away = self.is_away();
         match signal {
             Signal::Reads => {
@@ -44,29 +39,29 @@
             Signal::Writes => self.are_writes_failing = is_away,
         }
         if was_away && !self.is_away() {
-            self.last = Some((now, versions()));
+            self.last = Some((now, versions));
         }
     }
 
     /// Records versions that were in use before this process started, and whether journals were lost then.
-    pub(crate) fn learn(&mut self, versions: &Segment, has_lost_journals: bool, now: Duration) {
+    pub(crate) fn learn(&mut self, versions: Segment, has_lost_journals: bool, now: Duration) {
         if has_lost_journals || self.last.is_some() {
             let end = self.last.as_ref().map_or(now, |(end, _)| *end);
-            self.last = Some((end, versions.clone()));
+            self.last = Some((end, versions));
         }
     }
 
-    /// Returns the versions at which a process that ended without a journal may have begun streams that
-    /// clients still come back for.
-    pub(crate) fn orphans(&self, now: Duration, versions: impl FnOnce() -> Segment) -> Segment {
+    /// Returns the versions that were known at the end of the last outage, while clients still come back for
+    /// streams of that time.
+    pub(crate) fn last(&self, now: Duration) -> Segment {
         match &self.last {
-            _ if self.is_away() => versions(),
             Some((end, versions)) if now.saturating_sub(*end) < Loss::MAX_AGE => versions.clone(),
             _ => Segment::default(),
         }
     }
 
-    fn is_away(&self) -> bool {
+    /// Whether the store is away.
+    pub(crate) fn is_away(&self) -> bool {
         self.are_reads_failing || self.are_writes_failing
     }
 }
--- a/crates/gateway/src/peer/replicator.rs
+++ b/crates/gateway/src/peer/replicator.rs
@@ -135,7 +135,7 @@
     Replicate,
     /// They store them as well, later.
     Adopt,
-    /// They answer for them once the store has them, or its journal of theirs names their versions.
+    /// They answer once the store has them, or at once if their journals name the versions.
     Persist,
 }
 
