--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -1,14 +1,15 @@
 //! Which versions began the streams that clients take up, as this gateway knows it.
 
 mod in_use;
+mod lookup;
 mod outage;
 mod own_journal;
 mod progress;
 mod reading;
 mod recording;
+mod replicas;
 mod stored;
 
-use std::mem;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -19,15 +20,15 @@
 use policy::origin::Loss;
 use policy::origin::Origin;
 use policy::origin::Outlook;
+use policy::origin::Process;
 use policy::origin::Segment;
 use policy::origin::StreamId;
 use route::Endpoint;
+use rpc::view::Attestation;
 use rpc::view::Pledge;
 use tokio::sync::Notify;
-use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio::time::sleep;
-use tokio::time::timeout_at;
 
 pub(crate) use in_use::InUse;
 pub(crate) use outage::Signal;
@@ -37,7 +38,9 @@
 pub(crate) use stored::Stored;
 
 use crate::history::History;
+use crate::origins::lookup::Lookup;
 use crate::origins::outage::Outage;
+use crate::origins::replicas::Replicas;
 use crate::record;
 
 /// Longest time for which a request to resume a stream waits until the version that began it is
@@ -49,17 +52,11 @@
 const PENDING_INTERVAL: Duration = Duration::from_millis(100);
 
 /// The streams that began here, and those of other gateways as last read from the store.
-///
-/// Requests are handled on other threads than calls of the store, so they ask for a read by
-/// raising `wanted`, and wait until a reading covers it.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(crate) struct Origins {
     ledger: Mutex<Ledger>,
-    /// Streams that other gateways have replicated here. A store that comes back from a copy may lack
-    /// them.
-    replicas: Mutex<Ledger>,
-    /// Streams of gateways that can't write to the store, which this one stores for them.
-    adopted: Mutex<Ledger>,
+    /// Streams that other gateways have replicated here.
+    pub(crate) replicas: Replicas,
     /// The journal of this process, as far as the store has it.
     pub(crate) journal: OwnJournal,
     /// The last streams that the store and other gateways have.
@@ -68,32 +65,10 @@
     loss: Mutex<Option<Lost>>,
     /// The last time at which the store was away.
     outage: Mutex<Outage>,
-    /// Streams whose versions the next read looks up at other gateways. Their rows have no versions.
-    asked: Mutex<Segment>,
+    /// Looks streams up in the store and at other gateways.
+    pub(crate) lookup: Lookup,
     /// Signals that there is something to store.
     pub(crate) changed: Notify,
-    /// Number of the last read that was asked for.
-    pub(crate) wanted: watch::Sender<u64>,
-    /// Result of the last read.
-    pub(crate) reading: watch::Sender<Reading>,
-}
-
-impl Default for Origins {
-    fn default() -> Origins {
-        Origins {
-            ledger: Mutex::default(),
-            replicas: Mutex::default(),
-            adopted: Mutex::default(),
-            journal: OwnJournal::default(),
-            recording: Recording::default(),
-            loss: Mutex::default(),
-            outage: Mutex::default(),
-            asked: Mutex::default(),
-            changed: Notify::new(),
-            wanted: watch::Sender::default(),
-            reading: watch::Sender::default(),
-        }
-    }
 }
 
 impl Origins {
@@ -205,7 +180,7 @@
         }
         let deadline = deadline.min(Instant::now() + FIND_TIMEOUT);
         loop {
-            let stored = self.read(service, stream, deadline).await;
+            let stored = self.lookup.read(service, stream, deadline).await;
             // Other gateways may have sent what they know of it.
             if let Some(version) = self.find_here(service, stream) {
                 return Some(version);
@@ -255,37 +230,9 @@
 
     /// Returns the version of a stream that began here or was replicated here, and which of both it is.
     fn known(&self, service: &str, stream: StreamId) -> Option<(Arc<str>, &'static str)> {
-        [(&self.ledger, "own"), (&self.replicas, "replica")].into_iter().find_map(
-            |(ledger, source)| {
-                let ledger = ledger.lock();
-                ledger.find(service, stream).map(|version| (Arc::from(version), source))
-            },
-        )
-    }
-
-    /// Returns what all gateways have stored, by a read that begins now and also looks the stream up at
-    /// other gateways; `None` if that fails or doesn't end before the deadline.
-    async fn read(
-        &self,
-        service: &str,
-        stream: Option<StreamId>,
-        deadline: Instant,
-    ) -> Option<Arc<Stored>> {
-        let mut reading = self.reading.subscribe();
-        let mut number = 0;
-        {
-            // The read with this number has to look the stream up.
-            let mut asked = self.asked.lock();
-            if let Some(stream) = stream {
-                asked.add(service, "", stream);
-            }
-            self.wanted.send_modify(|wanted| {
-                *wanted += 1;
-                number = *wanted;
-            });
-        }
-        let read = reading.wait_for(|reading| reading.number >= number);
-        timeout_at(deadline, read).await.ok()?.ok()?.stored.clone()
+        let own = self.ledger.lock().find(service, stream).map(Arc::from);
+        let replica = || self.replicas.find(service, stream).map(Arc::from);
+        own.map(|version| (version, "own")).or_else(|| Some((replica()?, "replica")))
     }
 
     /// Returns what this gateway itself knows of versions, to go with what was stored when the store
@@ -336,23 +283,9 @@
         (ledger.versions(now), ledger.mixed_segments(now), orphans)
     }
 
-    /// Returns the streams of other gateways that this one stores, with their places in a ring: those
-    /// that it has adopted, or all that were replicated here.
-    pub(crate) fn replicas_to_store(&self, has_all: bool, now: Duration) -> Vec<(u64, Segment)> {
-        let replicas = if has_all { &self.replicas } else { &self.adopted };
-        let replicas = replicas.lock();
-        replicas.segments(now).map(|(place, segment)| (place, segment.clone())).collect()
-    }
-
-    /// Records streams that another gateway has replicated.
-    pub(crate) fn learn(&self, streams: &Segment, now: Duration) {
-        self.replicas.lock().learn(streams, now);
-    }
-
     /// Records streams that another gateway has replicated and can't store, to store them for it.
     pub(crate) fn adopt(&self, streams: &Segment, now: Duration) {
-        self.learn(streams, now);
-        self.adopted.lock().learn(streams, now);
+        self.replicas.adopt(streams, now);
         self.changed.notify_one();
     }
 
@@ -389,9 +322,12 @@
         self.outage.lock().learn(versions, stored.has_lost_journals(), now);
     }
 
-    /// Whether this process knows all streams that it began and that clients still come back for.
-    pub(crate) fn has_all(&self, now: Duration) -> bool {
-        self.ledger.lock().has_all(now)
+    /// Returns the versions that this process knows of some streams. It has its name if it can tell that
+    /// it began none of the others.
+    pub(crate) fn attest(&self, asked: &Segment, now: Duration) -> Attestation {
+        let has_all = self.ledger.lock().has_all(now);
+        let process = if has_all { self.journal.process() } else { Process::default() };
+        Attestation { process, streams: self.look_up(asked) }
     }
 
     /// Returns the versions of those streams of a segment that began here or were replicated here.
@@ -407,34 +343,9 @@
         found
     }
 
-    /// Returns the number of the next read, and the streams that it looks up at other gateways, which are
-    /// removed.
-    pub(crate) fn take_asked(&self) -> (u64, Segment) {
-        let mut asked = self.asked.lock();
-        (*self.wanted.borrow(), mem::take(&mut asked))
-    }
-
-    /// Returns those streams of a segment for which no row and no replica is known, of services of which
-    /// the journals know several versions. Only for these it counts who may have begun them.
-    pub(crate) fn unresolved(&self, asked: &Segment, stored: &Stored) -> Segment {
-        let mut unresolved = Segment::default();
-        for row in &asked.rows {
-            let versions = stored.journals.iter().flat_map(|it| it.versions(&row.service));
-            let mut versions: Vec<&str> = versions.collect();
-            versions.sort_unstable();
-            versions.dedup();
-            if versions.len() < 2 {
-                continue;
-            }
-            let is_known = |stream: &&StreamId| {
-                self.known(&row.service, **stream).is_some()
-                    || origin::find(&stored.journals, &row.service, **stream).is_some()
-            };
-            for stream in row.streams.iter().filter(|stream| !is_known(stream)) {
-                unresolved.add(&row.service, "", *stream);
-            }
-        }
-        unresolved
+    /// Whether a stream began here or was replicated here.
+    pub(crate) fn knows(&self, service: &str, stream: StreamId) -> bool {
+        self.known(service, stream).is_some()
     }
 
     /// Records whether the store is away, as far as one of this gateway's tasks can tell.
--- a/crates/gateway/src/origins/stored.rs
+++ b/crates/gateway/src/origins/stored.rs
@@ -1,7 +1,9 @@
 //! The journals of all processes in the store.
 
+use policy::origin;
 use policy::origin::Journal;
 use policy::origin::Segment;
+use policy::origin::StreamId;
 
 use crate::origins::InUse;
 
@@ -19,6 +21,35 @@
 }
 
 impl Stored {
+    /// Returns those of the streams that were looked up for which no row is known, and nothing else, of
+    /// services of which the journals know several versions. Only for these it counts who may have begun
+    /// them.
+    pub(crate) fn unresolved(
+        &self,
+        asked: &Segment,
+        is_known: impl Fn(&str, StreamId) -> bool,
+    ) -> Segment {
+        let mut unresolved = Segment::default();
+        for row in &asked.rows {
+            let service = row.service.as_str();
+            let versions = self.journals.iter().flat_map(|journal| journal.versions(service));
+            let mut versions: Vec<&str> = versions.collect();
+            versions.sort_unstable();
+            versions.dedup();
+            if versions.len() < 2 {
+                continue;
+            }
+            let is_found = |stream: &&StreamId| {
+                is_known(service, **stream)
+                    || origin::find(&self.journals, service, **stream).is_some()
+            };
+            for stream in row.streams.iter().filter(|stream| !is_found(stream)) {
+                unresolved.add(service, "", *stream);
+            }
+        }
+        unresolved
+    }
+
     /// Whether journals were lost of processes that ended lately: there is none of the process that was the
     /// last to write the versions in use.
     pub(crate) fn has_lost_journals(&self) -> bool {
--- a/crates/gateway/src/peer/finder.rs
+++ b/crates/gateway/src/peer/finder.rs
@@ -82,7 +82,7 @@
         match answer.await {
             Ok(Attestation { process, streams }) => {
                 log::debug!(peer = member.vm.as_str(), asked:?, streams:?; "streams are looked up");
-                routing.origins().learn(&streams, routing.now());
+                routing.origins().replicas.learn(&streams, routing.now());
                 (!process.is_empty()).then_some(process)
             }
             Err(error) => {
--- a/crates/gateway/src/peer/loads.rs
+++ b/crates/gateway/src/peer/loads.rs
@@ -131,7 +131,7 @@
 
     fn learn_streams(&self, streams: &Segment) {
         let routing = self.peers.routing();
-        routing.origins().learn(streams, routing.now());
+        routing.origins().replicas.learn(streams, routing.now());
     }
 
     /// Uses the requests and observations of the other gateways for the choice of endpoints.
--- a/crates/gateway/src/peer/peers.rs
+++ b/crates/gateway/src/peer/peers.rs
@@ -11,7 +11,6 @@
 use policy::exchange::Report;
 use policy::observation;
 use policy::observation::Observations;
-use policy::origin::Process;
 use policy::origin::Segment;
 use policy::quarantine::Digest;
 use policy::rate_limit;
@@ -376,7 +375,7 @@
     }
 
     fn learn_streams(&self, streams: &Segment) {
-        self.routing.origins().learn(streams, self.routing.now());
+        self.routing.origins().replicas.learn(streams, self.routing.now());
     }
 
     fn adopt_streams(&self, streams: &Segment) {
@@ -396,9 +395,6 @@
     }
 
     fn attest_streams(&self, asked: &Segment) -> Attestation {
-        let origins = self.routing.origins();
-        let has_all = origins.has_all(self.routing.now());
-        let process = if has_all { origins.journal.process() } else { Process::default() };
-        Attestation { process, streams: origins.look_up(asked) }
+        self.routing.origins().attest(asked, self.routing.now())
     }
 }
--- a/crates/gateway/src/peer/streams.rs
+++ b/crates/gateway/src/peer/streams.rs
@@ -69,13 +69,14 @@
 pub(crate) async fn keep_read(store: &dyn Store, peers: &Peers) {
     let origins = peers.routing().origins();
     let finder = Finder::new(peers);
-    let mut wanted = origins.wanted.subscribe();
+    let mut wanted = origins.lookup.wanted();
     while wanted.changed().await.is_ok() {
         wanted.mark_unchanged();
-        let (number, asked) = origins.take_asked();
+        let (number, asked) = origins.lookup.take();
         let (mut stored, mut answered) = tokio::join!(read(store, origins), finder.find(&asked));
         if let Some(stored) = &mut stored {
-            let unresolved = origins.unresolved(&asked, stored);
+            let unresolved =
+                stored.unresolved(&asked, |service, stream| origins.knows(service, stream));
             if !unresolved.rows.is_empty() {
                 answered.extend(finder.exclude(&unresolved, stored, &answered).await);
             }
@@ -87,7 +88,7 @@
             }
             stored.asked = asked;
         }
-        origins.reading.send_replace(Reading { number, stored: stored.map(Arc::new) });
+        origins.lookup.finish(Reading { number, stored: stored.map(Arc::new) });
         sleep(READ_PAUSE).await;
     }
 }
@@ -153,7 +154,7 @@
         }
         let number = origins.recording.last();
         let (versions, segments, orphans) = origins.to_store(routing.now());
-        let replicas = origins.replicas_to_store(writer.has_lost(routing.now()), routing.now());
+        let replicas = origins.replicas.to_store(writer.has_lost(routing.now()), routing.now());
         if versions.rows.is_empty() {
             continue;
         }
--- a/crates/rpc/src/view.rs
+++ b/crates/rpc/src/view.rs
@@ -1,11 +1,14 @@
 //! Calls between gateways: keys of the key-value service that a peer has read, and loads.
 
+mod attestation;
 mod client;
+mod pledge;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+pub use attestation::Attestation;
 pub use client::Client;
 pub use client::ask;
 use futures_util::future::BoxFuture;
@@ -13,10 +16,10 @@
 use jsonrpsee::core::async_trait;
 use jsonrpsee::proc_macros::rpc;
 use jsonrpsee::types::ErrorObjectOwned;
+pub use pledge::Pledge;
 use policy::exchange::Report;
 use policy::exchange::Sheet;
 use policy::observation;
-use policy::origin::Process;
 use policy::origin::Segment;
 use policy::quarantine::Digest;
 use policy::rate_limit;
@@ -79,26 +82,6 @@
     Lost,
 }
 
-/// What a process says of streams that a peer looks up.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Attestation {
-    /// The called process: it began none of the streams that are not among `streams`. It has no name if it
-    /// can't tell, or is of an earlier build.
-    pub process: Process,
-    /// The streams whose versions it knows.
-    pub streams: Segment,
-}
-
-/// What a process that takes replicas of streams answers for them, while the caller can't store them.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Pledge {
-    /// Whether the store has the streams.
-    pub is_stored: bool,
-    /// Whether the store has the journal of the called process, and it names their versions. So it is known
-    /// that they may be of these also once that process has ended.
-    pub is_named: bool,
-}
-
 /// Requests in flight at endpoints, of several gateways together.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Loads {
