Move what an outage tells to policy, and say in plainer words what the fix does

No change of what the gateway does. No check is dropped: the model's take-ups no longer look into adopted streams, as replicas have these too.

--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -2,7 +2,6 @@
 
 mod in_use;
 mod lookup;
-mod outage;
 mod own_journal;
 mod progress;
 mod reading;
@@ -19,9 +18,11 @@
 use policy::origin::Ledger;
 use policy::origin::Loss;
 use policy::origin::Origin;
+use policy::origin::Outage;
 use policy::origin::Outlook;
-use policy::origin::Process;
+use policy::origin::ProcessId;
 use policy::origin::Segment;
+use policy::origin::Signal;
 use policy::origin::StreamId;
 use route::Endpoint;
 use rpc::view::Attestation;
@@ -31,7 +32,6 @@
 use tokio::time::sleep;
 
 pub(crate) use in_use::InUse;
-pub(crate) use outage::Signal;
 pub(crate) use own_journal::OwnJournal;
 pub(crate) use reading::Reading;
 pub(crate) use recording::Recording;
@@ -39,7 +39,6 @@
 
 use crate::history::History;
 use crate::origins::lookup::Lookup;
-use crate::origins::outage::Outage;
 use crate::origins::replicas::Replicas;
 use crate::record;
 
@@ -275,8 +274,8 @@
         self.journal.set(prefix, versions, valid_until);
     }
 
-    /// Returns what is to be stored: the versions, the segments with their places in a ring, and the
-    /// versions of streams without a journal.
+    /// Returns the content of the journal: the versions, the segments with their places in a ring, and the
+    /// orphans.
     pub(crate) fn to_store(&self, now: Duration) -> (Segment, Vec<(u64, Segment)>, Segment) {
         let orphans = self.orphans(now);
         let ledger = self.ledger.lock();
@@ -289,8 +288,8 @@
         self.changed.notify_one();
     }
 
-    /// Records streams as [`Origins::adopt`] does. Unless the journal of this process names their versions, it
-    /// waits until the store has them. Returns what this process answers for.
+    /// Records streams as [`Origins::adopt`] does, and waits until the store has them unless the journal of
+    /// this process names their versions.
     pub(crate) fn persist<'a>(
         &'a self,
         streams: &Segment,
@@ -326,7 +325,7 @@
     /// it began none of the others.
     pub(crate) fn attest(&self, asked: &Segment, now: Duration) -> Attestation {
         let has_all = self.ledger.lock().has_all(now);
-        let process = if has_all { self.journal.process() } else { Process::default() };
+        let process = if has_all { self.journal.process() } else { ProcessId::default() };
         Attestation { process, streams: self.look_up(asked) }
     }
 
@@ -348,15 +347,15 @@
         self.known(service, stream).is_some()
     }
 
-    /// Records whether the store is away, as far as one of this gateway's tasks can tell.
+    /// Records whether calls of the store of one kind fail.
     pub(crate) fn set_away(&self, signal: Signal, is_away: bool, now: Duration) {
         let was_away = self.outage.lock().is_away();
         let versions = if was_away { self.ledger.lock().versions(now) } else { Segment::default() };
         self.outage.lock().set(signal, is_away, versions, now);
     }
 
-    /// Returns the versions at which processes may have begun streams that ended before they had a
-    /// journal, as the store was away.
+    /// Returns the orphans: versions at which processes may have begun streams that ended without a journal,
+    /// as the store was away.
     fn orphans(&self, now: Duration) -> Segment {
         let is_away = self.outage.lock().is_away();
         if is_away { self.ledger.lock().versions(now) } else { self.outage.lock().last(now) }
--- a/crates/gateway/src/origins/in_use.rs
+++ b/crates/gateway/src/origins/in_use.rs
@@ -1,6 +1,6 @@
 //! The versions that are in use, for processes that start after all others have ended.
 
-use policy::origin::Process;
+use policy::origin::ProcessId;
 use policy::origin::Segment;
 use serde::Deserialize;
 use serde::Serialize;
@@ -11,7 +11,7 @@
 pub(crate) struct InUse {
     /// The process that wrote it. While the store keeps journals, it has that of this process for longer than
     /// clients take to come back.
-    pub(crate) writer: Process,
+    pub(crate) writer: ProcessId,
     /// The versions, without streams.
     pub(crate) versions: Segment,
 }
--- a/crates/gateway/src/origins/own_journal.rs
+++ b/crates/gateway/src/origins/own_journal.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::Ordering;
 
 use parking_lot::Mutex;
-use policy::origin::Process;
+use policy::origin::ProcessId;
 use policy::origin::Segment;
 use services::store::Entry;
 use tokio::time::Instant;
@@ -16,7 +16,7 @@
     /// Sorted by service and version; empty if the store has none.
     versions: Mutex<Arc<Vec<(String, String)>>>,
     /// Name of this process, once it is known.
-    process: Mutex<Process>,
+    process: Mutex<ProcessId>,
     /// Common prefix of its keys, once they are written.
     prefix: Mutex<Option<String>>,
     /// Time until which the store has it for sure, unless it was away.
@@ -32,7 +32,7 @@
     }
 
     /// Returns the name of this process, which is empty until it is known.
-    pub(crate) fn process(&self) -> Process {
+    pub(crate) fn process(&self) -> ProcessId {
         self.process.lock().clone()
     }
 
@@ -56,8 +56,8 @@
         Arc::clone(&self.versions.lock())
     }
 
-    /// Whether it names a version, so that other gateways take a stream that the store lacks for one of
-    /// this version or for unknown.
+    /// Whether the journal in the store names a version. Then no gateway infers another one for a stream of
+    /// this process.
     pub(crate) fn names(&self, service: &str, version: &str) -> bool {
         let find = |other: &(String, String)| {
             (other.0.as_str(), other.1.as_str()).cmp(&(service, version))
@@ -66,7 +66,7 @@
         is_valid && self.versions().binary_search_by(find).is_ok()
     }
 
-    /// Whether it names the version of each stream of a segment.
+    /// Whether the journal in the store names the versions of all rows of a segment.
     pub(crate) fn has_versions(&self, streams: &Segment) -> bool {
         streams.rows.iter().all(|row| self.names(&row.service, &row.version))
     }
--- a/crates/gateway/src/peer/finder.rs
+++ b/crates/gateway/src/peer/finder.rs
@@ -4,7 +4,7 @@
 
 use futures_util::future::join_all;
 use parking_lot::Mutex;
-use policy::origin::Process;
+use policy::origin::ProcessId;
 use policy::origin::Segment;
 use policy::relay::Duty;
 use policy::relay::Failures;
@@ -18,8 +18,8 @@
 /// Time limit for an answer, for which clients wait: several round trips between data centres.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Most gateways that are asked beside the witnesses whether they began a stream that nobody knows. In a
-/// larger fleet such streams are refused.
+/// Most gateways beside the witnesses that are asked about streams without a row or a replica. In a larger
+/// fleet such streams are refused.
 const MAX_ASKED: usize = 64;
 
 /// Looks up streams of gateways that could not store them. See `docs/decisions/versions.md`.
@@ -39,21 +39,21 @@
 
     /// Records which versions began those streams of which other gateways know it. Returns the processes
     /// that answered, which began none of the others.
-    pub(crate) async fn find(&self, asked: &Segment) -> Vec<Process> {
+    pub(crate) async fn find(&self, asked: &Segment) -> Vec<ProcessId> {
         if asked.rows.is_empty() {
             return Vec::new();
         }
         self.ask_all(&self.peers.witnesses(), asked).await
     }
 
-    /// Asks the gateways of processes that have a journal and have not answered, until it is known which
-    /// ones may have begun the streams that nobody knows.
+    /// Asks the gateways whose processes have a journal and have not answered about streams without a row or a
+    /// replica. Returns the processes that answered.
     pub(crate) async fn exclude(
         &self,
         asked: &Segment,
         stored: &Stored,
-        answered: &[Process],
-    ) -> Vec<Process> {
+        answered: &[ProcessId],
+    ) -> Vec<ProcessId> {
         let mut vms: Vec<&str> =
             stored.journals.iter().map(|journal| vm(&journal.process)).collect();
         vms.sort_unstable();
@@ -67,7 +67,7 @@
         self.ask_all(&members, asked).await
     }
 
-    async fn ask_all(&self, members: &[Member], asked: &Segment) -> Vec<Process> {
+    async fn ask_all(&self, members: &[Member], asked: &Segment) -> Vec<ProcessId> {
         let now = self.peers.routing().now();
         let is_allowed = |member: &&Member| self.failures.lock().allows(&member.vm, now);
         let answers = members.iter().filter(is_allowed).map(|member| self.ask(member, asked));
@@ -75,7 +75,7 @@
     }
 
     /// Asks a gateway; returns its process if it knows all streams that it began.
-    async fn ask(&self, member: &Member, asked: &Segment) -> Option<Process> {
+    async fn ask(&self, member: &Member, asked: &Segment) -> Option<ProcessId> {
         let answer =
             async { self.connections.client(member).await?.attest(asked, ANSWER_TIMEOUT).await };
         let routing = self.peers.routing();
--- a/crates/gateway/src/peer/peers.rs
+++ b/crates/gateway/src/peer/peers.rs
@@ -12,6 +12,7 @@
 use policy::observation;
 use policy::observation::Observations;
 use policy::origin::Segment;
+use policy::origin::Signal;
 use policy::quarantine::Digest;
 use policy::rate_limit;
 use policy::rate_limit::Usage;
@@ -30,7 +31,6 @@
 use tokio::time::timeout;
 
 use crate::Routing;
-use crate::origins::Signal;
 use crate::peer::Exchange;
 use crate::peer::Member;
 use crate::peer::Mirror;
--- a/crates/gateway/src/peer/replicator.rs
+++ b/crates/gateway/src/peer/replicator.rs
@@ -128,7 +128,7 @@
     }
 }
 
-/// How other gateways take streams.
+/// What other gateways do with replicas.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Mode {
     /// They remember them.
--- a/crates/gateway/src/peer/streams.rs
+++ b/crates/gateway/src/peer/streams.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use policy::origin::Segment;
+use policy::origin::Signal;
 use rand::RngExt;
 use serde::Serialize;
 use services::Store;
@@ -22,7 +23,6 @@
 use crate::origins::InUse;
 use crate::origins::Origins;
 use crate::origins::Reading;
-use crate::origins::Signal;
 use crate::origins::Stored;
 use crate::peer::Finder;
 use crate::peer::Peers;
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -150,12 +150,12 @@
     .increment(1);
 }
 
-/// Records where a new stream is recorded before its first event.
+/// Logs what is known of a new stream elsewhere, before its first event.
 pub(crate) fn recorded(endpoint: &Endpoint, stream: StreamId, custody: Custody) {
     log::debug!(stream, version = &*endpoint.version, custody:?; "a new stream is recorded");
 }
 
-/// Records what the version of a stream that has no row was inferred from: how many processes have
+/// Logs what the version of a stream without a row was inferred from: how many processes have
 /// journals, and the versions of each of them.
 pub(crate) fn inference(service: &str, stream: Option<StreamId>, stored: &Stored) {
     let versions = stored.journals.iter().map(|journal| journal.versions(service).join("+"));
--- a/crates/gateway/tests/sessions/unstored.rs
+++ b/crates/gateway/tests/sessions/unstored.rs
@@ -163,8 +163,8 @@
     hub.kill();
 }
 
-/// Guards against refusals: a process that starts while the store is down has no journal, but the one with its
-/// replicas has, so that nobody takes its streams for those of another version.
+/// Guards against refusals, and against ORDER: a process that starts while the store is down has no journal, but
+/// the one with its replicas has, so that nobody takes its streams for those of another version.
 #[test]
 fn streams_of_a_gateway_that_starts_in_an_outage_are_refused() {
     let (old, new) = endpoints();
--- a/crates/policy/src/origin.rs
+++ b/crates/policy/src/origin.rs
@@ -9,19 +9,23 @@
 mod journal;
 mod ledger;
 mod loss;
+mod outage;
 mod outlook;
 mod segment;
+mod signal;
 
 use std::time::Duration;
 
 pub use custody::Custody;
 pub use journal::Journal;
-pub use journal::Process;
+pub use journal::ProcessId;
 pub use ledger::Ledger;
 pub use loss::Loss;
+pub use outage::Outage;
 pub use outlook::Outlook;
 pub use segment::Row;
 pub use segment::Segment;
+pub use signal::Signal;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Hash of the id of the request that brought the first event of a stream. Its 32 bits keep what is
--- a/crates/policy/src/origin/journal.rs
+++ b/crates/policy/src/origin/journal.rs
@@ -7,7 +7,7 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Journal {
     /// The process, by a name that no other one has.
-    pub process: Process,
+    pub process: ProcessId,
     /// Whether the process runs and has answered that it did not begin the streams that are looked up.
     /// Nothing else rules out that it began one: its rows and all replicas of them may be lost.
     pub is_excluded: bool,
@@ -21,8 +21,8 @@
     pub orphans: Segment,
 }
 
-/// Name of a process.
-pub type Process = String;
+/// Name of a process: that of its VM, and a number that is drawn at its start.
+pub type ProcessId = String;
 
 impl Journal {
     /// Returns the version at which the process began a stream of a service; `None` if it has
--- a/crates/gateway/src/origins/outage.rs
+++ b/crates/policy/src/origin/outage.rs
@@ -2,13 +2,14 @@
 
 use std::time::Duration;
 
-use policy::origin::Loss;
-use policy::origin::Segment;
+use crate::origin::Loss;
+use crate::origin::Segment;
+use crate::origin::Signal;
 
 /// The last time at which the store was away, as far as this gateway knows. A process that began and ended
 /// within it has no journal. See `docs/decisions/versions.md`.
 #[derive(Debug, Default)]
-pub(crate) struct Outage {
+pub struct Outage {
     /// Whether reads succeeded before. A process that starts has not read anything yet.
     has_read: bool,
     are_reads_failing: bool,
@@ -17,19 +18,10 @@
     last: Option<(Duration, Segment)>,
 }
 
-/// What tells that the store is away.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Signal {
-    /// Changes can't be read.
-    Reads,
-    /// The last write of streams failed, or takes long.
-    Writes,
-}
-
 impl Outage {
-    /// Records whether one of the signals tells that the store is away. If that ends an outage, `versions` are
-    /// those that are known now.
-    pub(crate) fn set(&mut self, signal: Signal, is_away: bool, versions: Segment, now: Duration) {
+    /// Records whether calls of one kind fail. `versions` are those that are known now; they are kept if this
+    /// ends an outage.
+    pub fn set(&mut self, signal: Signal, is_away: bool, versions: Segment, now: Duration) {
         let was_away = self.is_away();
         match signal {
             Signal::Reads => {
@@ -43,8 +35,9 @@
         }
     }
 
-    /// Records versions that were in use before this process started, and whether journals were lost then.
-    pub(crate) fn learn(&mut self, versions: Segment, has_lost_journals: bool, now: Duration) {
+    /// Records the versions that this process knows once it has read those of others, and whether journals of
+    /// processes that ended before were lost.
+    pub fn learn(&mut self, versions: Segment, has_lost_journals: bool, now: Duration) {
         if has_lost_journals || self.last.is_some() {
             let end = self.last.as_ref().map_or(now, |(end, _)| *end);
             self.last = Some((end, versions));
@@ -53,7 +46,7 @@
 
     /// Returns the versions that were known at the end of the last outage, while clients still come back for
     /// streams of that time.
-    pub(crate) fn last(&self, now: Duration) -> Segment {
+    pub fn last(&self, now: Duration) -> Segment {
         match &self.last {
             Some((end, versions)) if now.saturating_sub(*end) < Loss::MAX_AGE => versions.clone(),
             _ => Segment::default(),
@@ -61,7 +54,7 @@
     }
 
     /// Whether the store is away.
-    pub(crate) fn is_away(&self) -> bool {
+    pub fn is_away(&self) -> bool {
         self.are_reads_failing || self.are_writes_failing
     }
 }
--- a/crates/policy/tests/origin_fleet/fleet.rs
+++ b/crates/policy/tests/origin_fleet/fleet.rs
@@ -134,7 +134,7 @@
         let process = &mut self.processes[index];
         let answers = self.store.answers(process.slot);
         if answers && self.rng.random_bool(0.5) {
-            process.read(&self.store, self.now);
+            process.read(&self.store, self.rules, self.now);
         }
         if process.serves() && self.rng.random_bool(0.5) {
             process.set_away(!answers, self.now);
@@ -149,7 +149,7 @@
         let process = &mut self.processes[index];
         let answers = self.store.answers(process.slot);
         if answers && !process.ledger.versions(self.now).rows.is_empty() {
-            process.write(&mut self.store, self.rules.has_losses, self.now);
+            process.write(&mut self.store, self.rules, self.now);
             // The answer may be lost.
             return self.rng.random_bool(0.9);
         }
--- a/crates/policy/tests/origin_fleet/process.rs
+++ b/crates/policy/tests/origin_fleet/process.rs
@@ -5,12 +5,15 @@
 use policy::origin::Journal;
 use policy::origin::Ledger;
 use policy::origin::Loss;
+use policy::origin::Outage;
 use policy::origin::Outlook;
 use policy::origin::Segment;
+use policy::origin::Signal;
 use policy::origin::StreamId;
 
 use crate::origin_fleet::entry::Entry;
 use crate::origin_fleet::fleet::SERVICE;
+use crate::origin_fleet::rules::Rules;
 use crate::origin_fleet::store::Store;
 
 /// Steps after which the store forgets a process that has ended.
@@ -35,10 +38,8 @@
     in_use: Segment,
     knows_others: bool,
     was_written: bool,
-    is_away: bool,
+    outage: Outage,
     away_since: Duration,
-    /// End of the last outage, and the versions that were known then.
-    outage: Option<(Duration, Segment)>,
     /// Time of the last loss, and the versions that were known before.
     loss: Option<(Duration, Segment)>,
     /// Number of restores of the store, and since when that is known.
@@ -66,16 +67,14 @@
 
     /// Records whether the store answers.
     pub(crate) fn set_away(&mut self, is_away: bool, now: Duration) {
-        match (self.is_away, is_away) {
-            (false, true) => self.away_since = now,
-            (true, false) => self.outage = Some((now, self.ledger.versions(now))),
-            _ => {}
+        if is_away && !self.outage.is_away() {
+            self.away_since = now;
         }
-        self.is_away = is_away;
+        self.outage.set(Signal::Writes, is_away, self.ledger.versions(now), now);
     }
 
     /// Reads the history of the store, and the journals of others if it has just started.
-    pub(crate) fn read(&mut self, store: &Store, now: Duration) {
+    pub(crate) fn read(&mut self, store: &Store, rules: Rules, now: Duration) {
         match self.history {
             None => self.history = Some((store.restores, now)),
             Some((restores, _)) if restores < store.restores => {
@@ -88,27 +87,22 @@
         if !self.knows_others {
             let segments =
                 store.entries.iter().flat_map(|it| it.segments.iter().chain([&it.orphans]));
-            let segments = segments.chain([&store.in_use.1]);
+            let in_use = store.in_use.as_ref().filter(|_| rules.has_in_use);
+            let segments = segments.chain(in_use.map(|(_, versions)| versions));
             for row in segments.flat_map(|segment| &segment.rows) {
                 self.ledger.announce(SERVICE, &row.version, now);
             }
             self.knows_others = true;
-            let writer = &store.in_use.0;
-            let has_lost =
-                !writer.is_empty() && store.entries.iter().all(|entry| entry.process != *writer);
-            if has_lost || self.outage.is_some() {
-                let end = self.outage.as_ref().map_or(now, |(end, _)| *end);
-                self.outage = Some((end, self.ledger.versions(now)));
-            }
+            let has_lost = in_use.is_some_and(|(writer, _)| !store.has(writer));
+            self.outage.learn(self.ledger.versions(now), has_lost, now);
         }
     }
 
     /// Writes its journal.
-    pub(crate) fn write(&mut self, store: &mut Store, has_losses: bool, now: Duration) {
+    pub(crate) fn write(&mut self, store: &mut Store, rules: Rules, now: Duration) {
         let versions = self.ledger.versions(now);
-        let has_entry = store.entries.iter().any(|entry| entry.process == self.name);
-        if self.was_written && !has_entry {
-            if !has_losses {
+        if self.was_written && !store.has(&self.name) {
+            if !rules.has_losses {
                 return;
             }
             self.set_lost(now);
@@ -128,7 +122,7 @@
             orphans: self.orphans(now),
         });
         if self.knows_others && self.in_use != versions {
-            store.in_use = (self.name.clone(), versions.clone());
+            store.in_use = Some((self.name.clone(), versions.clone()));
             self.in_use.clone_from(&versions);
         }
         self.was_written = true;
@@ -153,10 +147,7 @@
 
     /// Returns what it knows of a stream itself.
     pub(crate) fn find(&self, stream: StreamId) -> Option<&str> {
-        let known = self.ledger.find(SERVICE, stream);
-        known
-            .or_else(|| self.replicas.find(SERVICE, stream))
-            .or_else(|| self.adopted.find(SERVICE, stream))
+        self.ledger.find(SERVICE, stream).or_else(|| self.replicas.find(SERVICE, stream))
     }
 
     fn set_lost(&mut self, now: Duration) {
@@ -164,11 +155,7 @@
     }
 
     fn orphans(&self, now: Duration) -> Segment {
-        match &self.outage {
-            _ if self.is_away => self.ledger.versions(now),
-            Some((end, versions)) if now.saturating_sub(*end) < Loss::MAX_AGE => versions.clone(),
-            _ => Segment::default(),
-        }
+        if self.outage.is_away() { self.ledger.versions(now) } else { self.outage.last(now) }
     }
 }
 
--- a/crates/policy/tests/origin_fleet/rules.rs
+++ b/crates/policy/tests/origin_fleet/rules.rs
@@ -13,19 +13,27 @@
     pub(crate) has_custody: bool,
     /// Lost journals are written again at once, and count where their process is gone (review/8).
     pub(crate) has_losses: bool,
+    /// The versions in use outlive all journals (docs/incidents/order-all-journals-lost.md).
+    pub(crate) has_in_use: bool,
 }
 
 impl Rules {
-    pub(crate) const ALL: Rules =
-        Rules { has_exclusion: true, has_histories: true, has_custody: true, has_losses: true };
+    pub(crate) const ALL: Rules = Rules {
+        has_exclusion: true,
+        has_histories: true,
+        has_custody: true,
+        has_losses: true,
+        has_in_use: true,
+    };
 
     /// Returns all rules but one, for each of them.
-    pub(crate) fn without_one() -> [Rules; 4] {
+    pub(crate) fn without_one() -> [Rules; 5] {
         [
             Rules { has_exclusion: false, ..Rules::ALL },
             Rules { has_histories: false, ..Rules::ALL },
             Rules { has_custody: false, ..Rules::ALL },
             Rules { has_losses: false, ..Rules::ALL },
+            Rules { has_in_use: false, ..Rules::ALL },
         ]
     }
 }
--- a/crates/policy/tests/origin_fleet/store.rs
+++ b/crates/policy/tests/origin_fleet/store.rs
@@ -9,13 +9,13 @@
 /// Steps between copies that the store may come back from.
 const COPY_INTERVAL: u32 = 60;
 
-/// The store. While it is away it answers nothing; a write may have been done all the same.
+/// The store. While it is away it takes nothing.
 #[derive(Debug, Default)]
 pub(crate) struct Store {
     pub(crate) entries: Vec<Entry>,
     /// The versions that the process knew which was the last to start or to hear of one, and its name. They have
     /// no lease.
-    pub(crate) in_use: (String, Segment),
+    pub(crate) in_use: Option<(String, Segment)>,
     /// How often it has come back from a copy.
     pub(crate) restores: u64,
     copy: Vec<Entry>,
@@ -74,12 +74,14 @@
         is_back
     }
 
-    /// Takes a write. Returns whether the process has had an entry.
-    pub(crate) fn write(&mut self, entry: Entry) -> bool {
-        let count = self.entries.len();
+    /// Whether it has an entry of a process.
+    pub(crate) fn has(&self, process: &str) -> bool {
+        self.entries.iter().any(|entry| entry.process == process)
+    }
+
+    /// Takes a write.
+    pub(crate) fn write(&mut self, entry: Entry) {
         self.entries.retain(|other| other.process != entry.process);
-        let had_entry = self.entries.len() < count;
         self.entries.push(entry);
-        had_entry
     }
 }
--- a/crates/rpc/src/view/attestation.rs
+++ b/crates/rpc/src/view/attestation.rs
@@ -1,6 +1,6 @@
 //! What a process says of streams.
 
-use policy::origin::Process;
+use policy::origin::ProcessId;
 use policy::origin::Segment;
 use serde::Deserialize;
 use serde::Serialize;
@@ -10,7 +10,7 @@
 pub struct Attestation {
     /// The called process: it began none of the streams that are not among `streams`. It has no name if it
     /// can't tell, or is of an earlier build.
-    pub process: Process,
+    pub process: ProcessId,
     /// The streams whose versions it knows.
     pub streams: Segment,
 }
